--- /dev/null
+++ b/placer.go
@@ -0,0 +1,889 @@
+// Package forkhead makes the decisions of a placement service: many placers,
+// each seeing only its own traffic, put tasks on one shared pool of machines.
+//
+// The interface (settings, events and actions) is in api.go. This file holds
+// every decision and every tuned value. The mechanism is ordered size-interval
+// task assignment; docs/design.md says what was kept and what was changed.
+package forkhead
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Tuned values, each with its reason.
+const (
+	// A group of three still leaves a choice when one machine is full and one drains.
+	machinesPerGroup = 3
+	// Two intervals at least, so that large tasks keep a group of their own.
+	minIntervals = 2
+	// The size mix drifts slowly; a minute holds enough arrivals and forgets an old mix.
+	sizeHalfLife = time.Minute
+	// Before so many arrivals the histogram says less than the told mean.
+	enoughSizes = 30
+	// Two machines are drawn for a service, so that its program stays present on both.
+	handful = 2
+	// The view is late by about this; own binds within it are added to the view.
+	viewLag = time.Second
+	// Ended attempts are remembered this long for a view that is later still.
+	viewMemory = 10 * time.Second
+	// A machine starts few tasks at a time; more than this of our own make each other late.
+	startLine = 3
+	// Programs that a machine is taken to keep after the last task of a service.
+	keptPrograms = 5
+	// What tasks use of what they ask, until notes tell.
+	guessedUse = 0.8
+	// Memory in use above this share slows a machine and then evicts.
+	memoryCalm = 0.88
+	// An attempt without an answer for this long gets its machine probed.
+	patience = 700 * time.Millisecond
+	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
+	suspectFirst = 500 * time.Millisecond
+	suspectMost  = 4 * time.Second
+	// A machine that refused is left alone for tasks as large until the view can have changed.
+	refusedRest = time.Second
+	// Waiting tasks are tried again this often, beside each time that something changes.
+	retryEvery = 50 * time.Millisecond
+	// A task is ended this long before its owner gives up: a tick or two.
+	deadlineMargin = 5 * time.Millisecond
+	// The first pause before asking the list again, and the longest.
+	askFirst = 300 * time.Millisecond
+	askMost  = 3 * time.Second
+)
+
+// Timer purposes, in the upper half of a timer's number; the lower is a task's or machine's.
+const (
+	timerDeadline = iota + 1
+	timerPatience
+	timerRetry
+	timerList
+	timerSuspect
+)
+
+// Placer decides for one placer. It is not safe for concurrent use.
+type Placer struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	machines map[MachineID]*machine
+	pools    []*pool // by kind
+	tasks    map[TaskID]*task
+	services map[uint64][]*attempt // live attempts of each service
+	waiting  []*task               // no machine yet, in order of arrival
+	retry    bool                  // a retry timer is out
+	changed  bool                  // room may have come up
+	cores    usage
+	memory   usage
+	list     listState
+}
+
+// pool is the machines of one kind and the sizes of the tasks that came for them.
+type pool struct {
+	order []*machine // by the fixed hash of their ids
+	sizes histogram
+}
+
+// usage learns how much of what is asked is used.
+type usage struct{ used, asked float64 }
+
+// listState follows the list where it must be asked.
+type listState struct {
+	started, waiting bool
+	failures         int
+}
+
+type machine struct {
+	Machine
+	viewAt       time.Duration
+	attempts     []*attempt // live, and ended within viewMemory
+	starting     int        // our attempts here whose task does not run yet
+	kept         []uint64   // services whose last task ended here, the latest last
+	cold         []time.Duration
+	failures     int
+	suspectUntil time.Duration
+	probing      bool
+	refusedAt    time.Duration
+	refusedSize  Task
+}
+
+type task struct {
+	Task
+	deadline time.Duration
+	pool     int
+	attempts []*attempt
+	open     bool     // an answer is owed
+	mayRun   *attempt // the first attempt that may have run
+}
+
+type attempt struct {
+	task    *task
+	machine *machine
+	number  int
+	sentAt  time.Duration
+	endedAt time.Duration
+	bound   bool
+	runs    bool
+	over    bool
+}
+
+// New returns a placer for the settings, or an error that names the field it cannot use.
+func New(set Settings, seed uint64) (*Placer, error) {
+	if err := check(&set); err != nil {
+		return nil, fmt.Errorf("forkhead: %w", err)
+	}
+	p := &Placer{
+		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		machines: map[MachineID]*machine{}, tasks: map[TaskID]*task{}, services: map[uint64][]*attempt{},
+	}
+	for range set.Kinds {
+		p.pools = append(p.pools, &pool{})
+	}
+	return p, nil
+}
+
+// Step takes the events of one moment in order and returns what to do, in order.
+func (p *Placer) Step(now time.Duration, events []Event) []Action {
+	p.now, p.out = now, nil
+	if !p.list.started {
+		p.list.started = true
+		p.subscribe()
+	}
+	for _, ev := range events {
+		p.take(ev)
+	}
+	if p.changed {
+		p.changed = false
+		p.placeWaiting()
+	}
+	return p.out
+}
+
+func (p *Placer) take(ev Event) {
+	switch ev := ev.(type) {
+	case Update:
+		p.update(ev)
+	case Arrival:
+		p.arrive(ev.Task)
+	case HandedOver:
+		p.handOver(ev)
+	case Bound:
+		p.bound(ev)
+	case Note:
+		p.note(ev)
+	case Outcome:
+		p.outcome(ev)
+	case OwnerLeft:
+		if t := p.tasks[ev.Task]; t != nil {
+			t.open = false
+			p.forget(t)
+		}
+	case TimerFired:
+		p.timer(int(ev.Timer>>32), uint32(ev.Timer))
+	case Probed:
+		p.probed(ev)
+	}
+}
+
+func (p *Placer) do(a Action) { p.out = append(p.out, a) }
+
+func (p *Placer) setTimer(purpose int, id uint32, after time.Duration) {
+	p.do(SetTimer{Timer: uint64(purpose)<<32 | uint64(id), At: p.now + after})
+}
+
+func (p *Placer) timer(purpose int, id uint32) {
+	switch purpose {
+	case timerDeadline:
+		if t := p.tasks[TaskID(id)]; t != nil {
+			p.end(t)
+		}
+	case timerPatience:
+		if t := p.tasks[TaskID(id)]; t != nil {
+			p.overdue(t)
+		}
+	case timerRetry:
+		p.retry, p.changed = false, true
+	case timerList:
+		if p.list.waiting || p.list.failures > 0 {
+			p.subscribe()
+		}
+	case timerSuspect:
+		if m := p.machines[MachineID(id)]; m != nil && m.failures > 0 {
+			p.probe(m)
+		}
+	}
+}
+
+// ---- The list of machines.
+
+// subscribe asks for the list's changes and sees to it that the call is renewed if it stays unanswered.
+func (p *Placer) subscribe() {
+	if p.set.ListPushed {
+		return
+	}
+	p.do(Subscribe{})
+	p.list.waiting = true
+	p.setTimer(timerList, 0, p.jitter(p.set.MustAskWithin/2))
+}
+
+// jitter spreads placers that would all act at one moment.
+func (p *Placer) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + p.rng.Float64()/2))
+}
+
+func (p *Placer) update(u Update) {
+	if u.Mode == ListFailed {
+		p.list.waiting = false
+		p.setTimer(timerList, 0, p.jitter(min(askFirst<<min(p.list.failures, 8), askMost)))
+		p.list.failures++
+		return
+	}
+	if u.Mode != ListSaved {
+		p.list.waiting, p.list.failures = false, 0
+	}
+	listed := map[MachineID]bool{}
+	for _, entry := range u.Machines {
+		listed[entry.ID] = true
+		p.list1(entry)
+	}
+	if u.Mode != ListDelta {
+		for id, m := range p.machines {
+			if !listed[id] {
+				m.State = Gone
+			}
+		}
+	}
+	p.reorder()
+	p.changed = true
+}
+
+// list1 takes one entry of the list.
+func (p *Placer) list1(entry Machine) {
+	if entry.Kind < 0 || entry.Kind >= len(p.pools) {
+		return
+	}
+	m := p.machine(entry.ID)
+	if entry.Started > m.Started {
+		m.kept = nil
+	}
+	m.Machine = entry
+	m.viewAt = p.now
+	if !p.set.ListsFree {
+		k := p.set.Kinds[m.Kind]
+		m.FreeCores, m.FreeMemory, m.viewAt = k.Cores, k.Memory, -viewMemory
+	}
+}
+
+// machine returns the machine of that id; one that no list has named is Gone.
+func (p *Placer) machine(id MachineID) *machine {
+	m := p.machines[id]
+	if m == nil {
+		m = &machine{Machine: Machine{ID: id, State: Gone, Cell: -1, Zone: -1}}
+		p.machines[id] = m
+	}
+	return m
+}
+
+// reorder lays the machines of each kind out by the hash of their ids. A draining
+// machine keeps its slot, so that the groups stay as they are until it is gone.
+func (p *Placer) reorder() {
+	for _, pl := range p.pools {
+		pl.order = pl.order[:0]
+	}
+	for _, m := range p.machines {
+		if m.State != Gone {
+			p.pools[m.Kind].order = append(p.pools[m.Kind].order, m)
+		}
+	}
+	for _, pl := range p.pools {
+		slices.SortFunc(pl.order, func(a, b *machine) int {
+			ha, hb := mix(uint64(a.ID)), mix(uint64(b.ID))
+			if ha < hb {
+				return -1
+			} else if ha > hb {
+				return 1
+			}
+			return 0
+		})
+	}
+}
+
+// mix is a fixed hash, the same at every placer.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// share maps a hash to [0, 1).
+func share(h uint64) float64 { return float64(h>>11) / (1 << 53) }
+
+// ---- Sizes, intervals and groups.
+
+// histogram holds the load of each size: the asked cores of the tasks that had it, decayed.
+type histogram struct {
+	load    [256]float64
+	total   float64
+	count   float64
+	decayed time.Duration
+}
+
+// bucket gives sizes 16 buckets a doubling, from 2^-6 up.
+func bucket(size float64) int {
+	return min(max(int(math.Round(16*math.Log2(size)))+96, 0), 255)
+}
+
+func (h *histogram) add(size float64, now time.Duration) {
+	if gap := now - h.decayed; gap > time.Second {
+		f := math.Exp2(-float64(gap) / float64(sizeHalfLife))
+		for i := range h.load {
+			h.load[i] *= f
+		}
+		h.total, h.count, h.decayed = h.total*f, h.count*f, now
+	}
+	h.load[bucket(size)] += size
+	h.total += size
+	h.count++
+}
+
+// position is where a task stands in the cumulative load eta, from 0 to 1: interval i of n
+// is [i/n, (i+1)/n). The service's hash spreads a size over the load that this size has, so
+// a threshold inside it splits it in the shares asked. Without data the told mean splits.
+func (h *histogram) position(size, mean float64, service uint64) float64 {
+	u := share(mix(service ^ 0x51ce))
+	if h.count < enoughSizes || h.total <= 0 {
+		if size < mean {
+			return u / 2
+		}
+		return 0.5 + u/2
+	}
+	b, below := bucket(size), 0.0
+	for _, load := range h.load[:b] {
+		below += load
+	}
+	return min(max((below+u*h.load[b])/h.total, 0), math.Nextafter(1, 0))
+}
+
+func (pl *pool) intervals() int {
+	n := len(pl.order)
+	return min(n, max(minIntervals, (n+machinesPerGroup/2)/machinesPerGroup))
+}
+
+// group returns the machines of interval i of n: equal runs of the order.
+func (pl *pool) group(i, n int) []*machine {
+	return pl.order[i*len(pl.order)/n : (i+1)*len(pl.order)/n]
+}
+
+// poolOf picks the kind: the one its class needs, else by the service's hash in proportion to cores.
+func (p *Placer) poolOf(t *Task) int {
+	if k := p.set.Classes[t.Class].Kind; k >= 0 {
+		return k
+	}
+	total := 0.0
+	for k, pl := range p.pools {
+		total += float64(len(pl.order)) * p.set.Kinds[k].Cores
+	}
+	u := share(mix(t.Service^0x2b1d)) * total
+	for k, pl := range p.pools {
+		if u -= float64(len(pl.order)) * p.set.Kinds[k].Cores; u < 0 {
+			return k
+		}
+	}
+	return len(p.pools) - 1
+}
+
+// ---- Arrivals.
+
+func (p *Placer) arrive(in Task) {
+	t := &task{Task: in, deadline: p.now + in.Wait, open: true}
+	p.tasks[in.ID] = t
+	if !p.usable(&in) {
+		p.end(t)
+		return
+	}
+	p.setTimer(timerDeadline, uint32(in.ID), max(in.Wait-deadlineMargin, 0))
+	t.pool = p.poolOf(&in)
+	if !in.Again {
+		p.pools[t.pool].sizes.add(in.Cores, p.now)
+	}
+	if !p.place(t) {
+		p.wait(t)
+	}
+}
+
+// usable says whether some kind of machine could ever hold the task.
+func (p *Placer) usable(t *Task) bool {
+	if t.Class < 0 || t.Class >= len(p.set.Classes) || !(t.Cores >= 0) || !(t.Memory >= 0) {
+		return false
+	}
+	for k, kind := range p.set.Kinds {
+		if c := p.set.Classes[t.Class].Kind; c >= 0 && c != k {
+			continue
+		}
+		if t.Cores <= kind.Cores*p.set.AcceptCores && t.Memory <= kind.Memory*p.set.AcceptMemory {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placer) handOver(ev HandedOver) {
+	t := &task{Task: ev.Task}
+	p.tasks[t.ID] = t
+	a := p.attempt(t, p.machine(ev.Machine))
+	a.bound = true
+	p.runs(a)
+}
+
+func (p *Placer) wait(t *task) {
+	p.waiting = append(p.waiting, t)
+	if !p.retry {
+		p.retry = true
+		p.setTimer(timerRetry, 0, retryEvery)
+	}
+}
+
+func (p *Placer) placeWaiting() {
+	line := p.waiting
+	p.waiting = nil
+	for _, t := range line {
+		if t.open && !p.out1(t) && !p.place(t) {
+			p.wait(t)
+		}
+	}
+}
+
+// out1 says whether an attempt of the task is out.
+func (p *Placer) out1(t *task) bool {
+	return len(t.attempts) > 0 && !t.attempts[len(t.attempts)-1].over
+}
+
+// end gives the task its final answer: a refusal where that is harmless, else a failure.
+func (p *Placer) end(t *task) {
+	if !t.open {
+		return
+	}
+	t.open = false
+	c := Class{}
+	if t.Class >= 0 && t.Class < len(p.set.Classes) {
+		c = p.set.Classes[t.Class]
+	}
+	ran := t.mayRun != nil || p.out1(t)
+	if p.out1(t) && p.set.MayWithdraw {
+		p.do(Withdraw{Task: t.ID, Attempt: len(t.attempts) - 1})
+	}
+	if !ran || c.Effect == Safe || c.Effect == Keyed && c.Group == Anywhere {
+		p.do(Refuse{Task: t.ID})
+	} else {
+		p.do(Fail{Task: t.ID})
+	}
+	p.forget(t)
+}
+
+// forget drops a task that is owed nothing once its last attempt is over.
+func (p *Placer) forget(t *task) {
+	if !t.open && !p.out1(t) {
+		delete(p.tasks, t.ID)
+	}
+}
+
+// ---- Choosing a machine.
+
+// place offers the task to a machine, ends it where nothing more may be sent, or returns
+// false where it has to wait for room.
+func (p *Placer) place(t *task) bool {
+	if len(t.attempts) >= p.set.MaxAttempts || !p.maySend(t) {
+		p.end(t)
+		return true
+	}
+	m := p.choose(t)
+	if m == nil {
+		return false
+	}
+	p.offer(t, m)
+	return true
+}
+
+// maySend says whether any further attempt is legal.
+func (p *Placer) maySend(t *task) bool {
+	c := &p.set.Classes[t.Class]
+	if t.mayRun == nil || c.Effect == Safe {
+		return true
+	}
+	return c.Effect == Keyed && p.now < t.mayRun.sentAt+c.Window-deadlineMargin
+}
+
+// choose looks in the task's own group first and then in ever farther ones, at first only at
+// machines that would serve it well, then at any that would accept it.
+func (p *Placer) choose(t *task) *machine {
+	for _, full := range []bool{false, true} {
+		if m := p.chooseIn(t, t.pool, full); m != nil {
+			return m
+		}
+		for k := range p.pools {
+			if k != t.pool && p.set.Classes[t.Class].Kind < 0 {
+				if m := p.chooseIn(t, k, full); m != nil {
+					return m
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (p *Placer) chooseIn(t *task, kind int, full bool) *machine {
+	pl := p.pools[kind]
+	n := pl.intervals()
+	if n == 0 {
+		return nil
+	}
+	own := int(pl.sizes.position(t.Cores, p.set.MeanCores, t.Service) * float64(n))
+	for d := range n {
+		// Downward first: upward lies the room that large tasks need.
+		for _, i := range []int{own - d, own + d} {
+			if i < 0 || i >= n || d == 0 && i != own {
+				continue
+			}
+			if m := p.pick(t, pl.group(i, n), full); m != nil {
+				return m
+			}
+			if d == 0 {
+				break
+			}
+		}
+	}
+	return nil
+}
+
+// pick draws a handful of the group's machines with room, those that hold the service's
+// program first, and takes the tightest fit; ties at random.
+func (p *Placer) pick(t *task, group []*machine, full bool) *machine {
+	var room, warm []*machine
+	for _, m := range group {
+		if !p.allowed(t, m) || !p.fits(t, m, full) {
+			continue
+		}
+		room = append(room, m)
+		if p.holds(m, t.Service) {
+			warm = append(warm, m)
+		}
+	}
+	if len(warm) > 0 {
+		room = warm
+	} else if len(room) > handful {
+		// Every placer draws the same machines for a service.
+		slices.SortFunc(room, func(a, b *machine) int {
+			ha, hb := mix(t.Service^mix(uint64(a.ID))), mix(t.Service^mix(uint64(b.ID)))
+			if ha < hb {
+				return -1
+			}
+			return 1
+		})
+		room = room[:handful]
+	}
+	var best *machine
+	least, ties := 0.0, 0
+	for _, m := range room {
+		left := p.left(t, m)
+		switch {
+		case best == nil || left < least-1e-9:
+			best, least, ties = m, left, 1
+		case left <= least+1e-9:
+			if ties++; p.rng.IntN(ties) == 0 {
+				best = m
+			}
+		}
+	}
+	return best
+}
+
+// allowed applies the filters that no shortage of room lifts: state, health, the cold
+// budget, the spread of the service and the group of a keyed task.
+func (p *Placer) allowed(t *task, m *machine) bool {
+	c := &p.set.Classes[t.Class]
+	if m.State != Ready || m.suspectUntil > p.now || m.failures > 0 || !p.coldBudget(m) {
+		return false
+	}
+	if t.mayRun != nil && c.Effect == Keyed && !same(c.Group, m, t.mayRun.machine) {
+		return false
+	}
+	if c.Spread == Anywhere {
+		return true
+	}
+	n := 0
+	for _, a := range p.services[t.Service] {
+		if same(c.Spread, m, a.machine) {
+			n++
+		}
+	}
+	return n < c.Most
+}
+
+// same says whether two machines are in one such place.
+func same(place Place, a, b *machine) bool {
+	switch place {
+	case OnMachine:
+		return a == b
+	case InCell:
+		return a.Cell == b.Cell
+	case InZone:
+		return a.Zone == b.Zone
+	}
+	return true
+}
+
+func (p *Placer) isCold(m *machine) bool { return m.Started > 0 && p.now < m.Started+p.set.ColdFor }
+
+// coldBudget keeps the offers to a cold machine to our share of what it always bears.
+func (p *Placer) coldBudget(m *machine) bool {
+	if !p.isCold(m) {
+		return true
+	}
+	for len(m.cold) > 0 && m.cold[0] <= p.now-p.set.ColdWindow {
+		m.cold = m.cold[1:]
+	}
+	return float64(len(m.cold)+1) <= p.set.ColdOffers/float64(p.set.Placers)
+}
+
+// free is what the view shows as not asked for, with our own binds and ends since then.
+func (p *Placer) free(m *machine) (cores, memory float64) {
+	cores, memory = m.FreeCores, m.FreeMemory
+	cut := m.viewAt - viewLag
+	for _, a := range m.attempts {
+		if a.sentAt > cut && (a.bound || !a.over) {
+			cores, memory = cores-a.task.Cores, memory-a.task.Memory
+		}
+		if a.over && a.bound && a.endedAt > cut {
+			cores, memory = cores+a.task.Cores, memory+a.task.Memory
+		}
+	}
+	return cores, memory
+}
+
+// fits says whether the machine has room: as much as it accepts where full is set, else as
+// much as leaves its tasks well served.
+func (p *Placer) fits(t *task, m *machine, full bool) bool {
+	if p.now < m.refusedAt+refusedRest && m.refusedAt > 0 &&
+		t.Cores >= m.refusedSize.Cores && t.Memory >= m.refusedSize.Memory {
+		return false
+	}
+	kind := p.set.Kinds[m.Kind]
+	topCores, topMemory := p.set.AcceptCores, p.set.AcceptMemory
+	if !full {
+		if m.starting >= startLine || p.isCold(m) && m.starting > 0 {
+			return false
+		}
+		topCores = min(topCores, p.set.Classes[t.Class].Calm/p.cores.ratio())
+	}
+	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
+	cores, memory := p.free(m)
+	return t.Cores <= cores+kind.Cores*(topCores-1) && t.Memory <= memory+kind.Memory*(topMemory-1)
+}
+
+// left is what the task would leave free, cores and memory each as a share of the machine.
+func (p *Placer) left(t *task, m *machine) float64 {
+	cores, memory := p.free(m)
+	kind := p.set.Kinds[m.Kind]
+	return (cores-t.Cores)/kind.Cores + (memory-t.Memory)/kind.Memory
+}
+
+// holds says whether the machine has the service's program, as far as our own tasks tell.
+func (p *Placer) holds(m *machine, service uint64) bool {
+	for _, a := range p.services[service] {
+		if a.machine == m && a.bound {
+			return true
+		}
+	}
+	return slices.Contains(m.kept, service)
+}
+
+func (u *usage) ratio() float64 { return (u.used + guessedUse*20) / (u.asked + 20) }
+
+func (u *usage) learn(used, asked float64) {
+	u.used, u.asked = u.used*0.995+used, u.asked*0.995+asked
+}
+
+// ---- Attempts.
+
+func (p *Placer) attempt(t *task, m *machine) *attempt {
+	a := &attempt{task: t, machine: m, number: len(t.attempts), sentAt: p.now}
+	t.attempts = append(t.attempts, a)
+	m.attempts = append(m.attempts, a)
+	m.starting++
+	p.services[t.Service] = append(p.services[t.Service], a)
+	return a
+}
+
+func (p *Placer) offer(t *task, m *machine) {
+	p.attempt(t, m)
+	if p.isCold(m) {
+		m.cold = append(m.cold, p.now)
+	}
+	p.do(Offer{Task: t.ID, Machine: m.ID})
+	p.setTimer(timerPatience, uint32(t.ID), patience)
+}
+
+// live returns the attempt of that number if it is the task's and not over.
+func (p *Placer) live(id TaskID, number int) *attempt {
+	t := p.tasks[id]
+	if t == nil || number < 0 || number >= len(t.attempts) || t.attempts[number].over {
+		return nil
+	}
+	return t.attempts[number]
+}
+
+func (p *Placer) bound(ev Bound) {
+	a := p.live(ev.Task, ev.Attempt)
+	if a == nil {
+		return
+	}
+	a.bound = true
+	a.task.open = false
+	p.wellSeen(a.machine)
+	a.machine.kept = slices.DeleteFunc(a.machine.kept, func(s uint64) bool { return s == a.task.Service })
+	if p.set.BoundWhenRunning {
+		p.runs(a)
+	}
+}
+
+func (p *Placer) runs(a *attempt) {
+	if !a.runs {
+		a.runs = true
+		a.machine.starting--
+	}
+}
+
+func (p *Placer) note(ev Note) {
+	a := p.live(ev.Task, ev.Attempt)
+	if a == nil {
+		return
+	}
+	switch ev.Kind {
+	case NoteRuns:
+		p.runs(a)
+	case NoteCores:
+		p.cores.learn(ev.Amount, a.task.Cores)
+	case NoteMemory:
+		p.memory.learn(ev.Amount, a.task.Memory)
+	}
+}
+
+func (p *Placer) outcome(ev Outcome) {
+	a := p.live(ev.Task, ev.Attempt)
+	if a == nil {
+		return
+	}
+	p.close(a)
+	p.report(a.machine, ev.Report)
+	p.health(a.machine, ev.Result)
+	t := a.task
+	if ev.Final || a.bound {
+		t.open = false
+	}
+	if ev.Result == Full && ev.Reason <= NoMemory {
+		a.machine.refusedAt, a.machine.refusedSize = p.now, t.Task
+	}
+	if never := ev.Result == Full || ev.Result == ConnectFailed || ev.Result == Moot; !never && t.mayRun == nil {
+		t.mayRun = a
+	}
+	p.changed = true
+	if t.open && p.now >= t.deadline-deadlineMargin {
+		p.end(t)
+	} else if t.open && !p.place(t) {
+		p.wait(t)
+	}
+	p.forget(t)
+}
+
+// close takes an attempt that is over off all the counts.
+func (p *Placer) close(a *attempt) {
+	p.runs(a)
+	a.over, a.endedAt = true, p.now
+	m, service := a.machine, a.task.Service
+	left := slices.DeleteFunc(p.services[service], func(b *attempt) bool { return a == b })
+	if p.services[service] = left; len(left) == 0 {
+		delete(p.services, service)
+	}
+	if a.bound && !p.holds(m, service) {
+		if m.kept = append(m.kept, service); len(m.kept) > keptPrograms {
+			m.kept = m.kept[1:]
+		}
+	}
+	m.attempts = slices.DeleteFunc(m.attempts, func(b *attempt) bool {
+		return b.over && (!b.bound || b.endedAt < p.now-viewMemory)
+	})
+}
+
+// overdue looks after an attempt that has had no answer for a while.
+func (p *Placer) overdue(t *task) {
+	if !t.open || !p.out1(t) {
+		return
+	}
+	a := t.attempts[len(t.attempts)-1]
+	if p.now < a.sentAt+patience {
+		return
+	}
+	m := a.machine
+	if m.failures > 0 && p.mayLeave(t) {
+		p.do(Withdraw{Task: t.ID, Attempt: a.number})
+		return
+	}
+	p.probe(m)
+	p.setTimer(timerPatience, uint32(t.ID), patience)
+}
+
+// mayLeave says whether an attempt that may have run can be called off for another.
+func (p *Placer) mayLeave(t *task) bool {
+	c := &p.set.Classes[t.Class]
+	return p.set.MayWithdraw && len(t.attempts) < p.set.MaxAttempts &&
+		(c.Effect == Safe || c.Effect == Keyed && c.Group == Anywhere)
+}
+
+// ---- Health: a machine that does not answer gets nothing new until it does.
+
+func (p *Placer) probe(m *machine) {
+	if p.set.MayProbe && !m.probing && m.State != Gone {
+		m.probing = true
+		p.do(Probe{Machine: m.ID})
+	}
+}
+
+func (p *Placer) probed(ev Probed) {
+	m := p.machines[ev.Machine]
+	if m == nil {
+		return
+	}
+	m.probing = false
+	p.report(m, ev.Report)
+	p.health(m, ev.Result)
+}
+
+func (p *Placer) health(m *machine, r Result) {
+	switch r {
+	case OK, Full:
+		p.wellSeen(m)
+	case ConnectFailed, TimedOut:
+		rest := min(suspectFirst<<min(m.failures, 8), suspectMost)
+		m.suspectUntil = p.now + rest
+		if p.set.MayProbe {
+			m.failures++
+			p.setTimer(timerSuspect, uint32(m.ID), rest)
+		}
+	}
+}
+
+func (p *Placer) wellSeen(m *machine) {
+	m.failures, m.suspectUntil = 0, 0
+}
+
+// report takes a load report as a fresher view where the list shows no free amounts.
+func (p *Placer) report(m *machine, r *Report) {
+	if r == nil || p.set.ListsFree || !p.set.ReportsAsked || !(math.Abs(r.Cores+r.Memory) < 1e12) {
+		return
+	}
+	m.FreeCores, m.FreeMemory, m.viewAt = r.Cores, r.Memory, p.now
+}
--- /dev/null
+++ b/validate.go
@@ -0,0 +1,50 @@
+package forkhead
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// check refuses settings that no decision can be based on.
+func check(set *Settings) error {
+	switch {
+	case set.Placers < 1:
+		return fmt.Errorf("Placers is %d, want at least 1", set.Placers)
+	case len(set.Classes) == 0:
+		return fmt.Errorf("Classes is empty")
+	case len(set.Kinds) == 0:
+		return fmt.Errorf("Kinds is empty")
+	case set.MaxAttempts < 1:
+		return fmt.Errorf("MaxAttempts is %d, want at least 1", set.MaxAttempts)
+	}
+	figures := map[string]float64{
+		"MeanCores": set.MeanCores, "MeanMemory": set.MeanMemory, "AcceptCores": set.AcceptCores,
+		"AcceptMemory": set.AcceptMemory, "ColdOffers": set.ColdOffers, "ColdFor": float64(set.ColdFor),
+		"ColdWindow": float64(set.ColdWindow), "DrainGrace": float64(set.DrainGrace),
+		"MustAskWithin": float64(set.MustAskWithin), "OwnerWait": float64(set.OwnerWait),
+	}
+	for i, k := range set.Kinds {
+		figures[fmt.Sprintf("Kinds[%d].Cores", i)] = k.Cores
+		figures[fmt.Sprintf("Kinds[%d].Memory", i)] = k.Memory
+	}
+	for i, c := range set.Classes {
+		figures[fmt.Sprintf("Classes[%d].Calm", i)] = c.Calm
+		figures[fmt.Sprintf("Classes[%d].Window", i)] = float64(c.Window)
+		figures[fmt.Sprintf("Classes[%d].Most", i)] = float64(c.Most)
+		if c.Kind < -1 || c.Kind >= len(set.Kinds) {
+			return fmt.Errorf("Classes[%d].Kind is %d, want -1 to %d", i, c.Kind, len(set.Kinds)-1)
+		}
+	}
+	names := make([]string, 0, len(figures))
+	for name := range figures {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if v := figures[name]; !(v >= 0) || math.IsInf(v, 0) {
+			return fmt.Errorf("%s is %g, want a finite number not below 0", name, v)
+		}
+	}
+	return nil
+}
