--- a/placer.go
+++ b/placer.go
@@ -26,8 +26,8 @@
 	enoughSizes = 30
 	// Two machines are drawn for a service, so that its program stays present on both.
 	handful = 2
-	// The view is late by about this; own binds within it are added to the view.
-	viewLag = time.Second
+	// How late the view may be is learned among these; own binds within it are added to the view.
+	firstLag = 2
 	// Ended attempts are remembered this long for a view that is later still.
 	viewMemory = 10 * time.Second
 	// A machine starts few tasks at a time; more than this of our own make each other late.
@@ -43,8 +43,10 @@
 	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
-	// A machine that refused is left alone for tasks as large until the view can have changed.
-	refusedRest = time.Second
+	// What a refusal tells of a machine's room holds until the view knows, or this long.
+	refusalHolds = 4 * time.Second
+	// A machine with a full line of offers gets nothing new for this long.
+	lineRest = 300 * time.Millisecond
 	// Waiting tasks are tried again this often, beside each time that something changes.
 	retryEvery = 50 * time.Millisecond
 	// A task is ended this long before its owner gives up: a tick or two.
@@ -79,6 +81,19 @@
 	cores    usage
 	memory   usage
 	list     listState
+	lag      lagFinder
+}
+
+// lags are the candidates for how late the view is.
+var lags = [...]time.Duration{
+	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond,
+	2 * time.Second, 3 * time.Second, 4500 * time.Millisecond, 7 * time.Second,
+}
+
+// lagFinder learns which lag makes changes of the view match our own binds and ends best.
+type lagFinder struct {
+	miss [len(lags)]float64
+	best int
 }
 
 // pool is the machines of one kind and the sizes of the tasks that came for them.
@@ -99,6 +114,8 @@
 type machine struct {
 	Machine
 	viewAt       time.Duration
+	ownCores     float64 // asked for by our live attempts here
+	ownMemory    float64
 	attempts     []*attempt // live, and ended within viewMemory
 	starting     int        // our attempts here whose task does not run yet
 	kept         []uint64   // services whose last task ended here, the latest last
@@ -106,8 +123,10 @@
 	failures     int
 	suspectUntil time.Duration
 	probing      bool
-	refusedAt    time.Duration
-	refusedSize  Task
+	hiddenAt     time.Duration // when a refusal showed that less is free than the view says
+	hiddenCores  float64       // by how much
+	hiddenMemory float64
+	restUntil    time.Duration // its line of offers was full
 }
 
 type task struct {
@@ -138,6 +157,7 @@
 	p := &Placer{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		machines: map[MachineID]*machine{}, tasks: map[TaskID]*task{}, services: map[uint64][]*attempt{},
+		lag: lagFinder{best: firstLag},
 	}
 	for range set.Kinds {
 		p.pools = append(p.pools, &pool{})
@@ -269,6 +289,9 @@
 	if entry.Started > m.Started {
 		m.kept = nil
 	}
+	if m.viewAt > 0 && entry.Started == m.Started {
+		p.learnLag(m, entry.FreeCores-m.FreeCores)
+	}
 	m.Machine = entry
 	m.viewAt = p.now
 	if !p.set.ListsFree {
@@ -649,26 +672,72 @@
 	return float64(len(m.cold)+1) <= p.set.ColdOffers/float64(p.set.Placers)
 }
 
-// free is what the view shows as not asked for, with our own binds and ends since then.
+// free is what the view shows as not asked for, with our own binds and ends since then and
+// with what a refusal has shown. It is never more than our own tasks alone leave.
 func (p *Placer) free(m *machine) (cores, memory float64) {
-	cores, memory = m.FreeCores, m.FreeMemory
-	cut := m.viewAt - viewLag
+	cut := m.viewAt - lags[p.lag.best]
+	newCores, newMemory := m.ownSince(cut)
+	cores, memory = m.FreeCores-newCores, m.FreeMemory-newMemory
+	if m.hiddenAt > cut && p.now < m.hiddenAt+refusalHolds {
+		cores, memory = cores-m.hiddenCores, memory-m.hiddenMemory
+	}
+	kind := p.set.Kinds[m.Kind]
+	return min(cores, kind.Cores-m.ownCores), min(memory, kind.Memory-m.ownMemory)
+}
+
+// ownSince is what our own tasks on the machine ask for now, less what they asked for at a time.
+func (m *machine) ownSince(at time.Duration) (cores, memory float64) {
 	for _, a := range m.attempts {
-		if a.sentAt > cut && (a.bound || !a.over) {
-			cores, memory = cores-a.task.Cores, memory-a.task.Memory
-		}
-		if a.over && a.bound && a.endedAt > cut {
+		if a.sentAt > at && (a.bound || !a.over) {
 			cores, memory = cores+a.task.Cores, memory+a.task.Memory
 		}
+		if a.over && a.bound && a.endedAt > at {
+			cores, memory = cores-a.task.Cores, memory-a.task.Memory
+		}
 	}
 	return cores, memory
 }
 
+// learnLag compares a change of the view with that of our own tasks under each lag. It guards
+// against a view that is late by an unknown and changing time, whatever makes it late.
+func (p *Placer) learnLag(m *machine, change float64) {
+	if p.now-m.viewAt > viewMemory/2 {
+		return
+	}
+	for i, lag := range lags {
+		before, _ := m.ownSince(m.viewAt - lag)
+		after, _ := m.ownSince(p.now - lag)
+		p.lag.miss[i] = p.lag.miss[i]*0.98 + math.Abs(change+before-after)
+		if p.lag.miss[i] < p.lag.miss[p.lag.best] {
+			p.lag.best = i
+		}
+	}
+}
+
+// refused takes a refusal as a view of its own: less than what was asked is free.
+func (p *Placer) refused(a *attempt, why Reason) {
+	m := a.machine
+	kind := p.set.Kinds[m.Kind]
+	cores, memory := p.free(m)
+	if !(m.hiddenAt > m.viewAt-lags[p.lag.best] && p.now < m.hiddenAt+refusalHolds) {
+		m.hiddenCores, m.hiddenMemory = 0, 0
+	}
+	switch why {
+	case NoCores:
+		m.hiddenCores += max(0, cores+kind.Cores*(p.set.AcceptCores-1)-a.task.Cores*0.99)
+	case NoMemory:
+		m.hiddenMemory += max(0, memory+kind.Memory*(p.set.AcceptMemory-1)-a.task.Memory*0.99)
+	default:
+		m.restUntil = p.now + lineRest
+		return
+	}
+	m.hiddenAt = p.now
+}
+
 // fits says whether the machine has room: as much as it accepts where full is set, else as
 // much as leaves its tasks well served.
 func (p *Placer) fits(t *task, m *machine, full bool) bool {
-	if p.now < m.refusedAt+refusedRest && m.refusedAt > 0 &&
-		t.Cores >= m.refusedSize.Cores && t.Memory >= m.refusedSize.Memory {
+	if p.now < m.restUntil || m.starting >= 2*startLine {
 		return false
 	}
 	kind := p.set.Kinds[m.Kind]
@@ -714,6 +783,7 @@
 	t.attempts = append(t.attempts, a)
 	m.attempts = append(m.attempts, a)
 	m.starting++
+	m.ownCores, m.ownMemory = m.ownCores+t.Cores, m.ownMemory+t.Memory
 	p.services[t.Service] = append(p.services[t.Service], a)
 	return a
 }
@@ -784,8 +854,8 @@
 	if ev.Final || a.bound {
 		t.open = false
 	}
-	if ev.Result == Full && ev.Reason <= NoMemory {
-		a.machine.refusedAt, a.machine.refusedSize = p.now, t.Task
+	if ev.Result == Full {
+		p.refused(a, ev.Reason)
 	}
 	if never := ev.Result == Full || ev.Result == ConnectFailed || ev.Result == Moot; !never && t.mayRun == nil {
 		t.mayRun = a
@@ -804,6 +874,7 @@
 	p.runs(a)
 	a.over, a.endedAt = true, p.now
 	m, service := a.machine, a.task.Service
+	m.ownCores, m.ownMemory = m.ownCores-a.task.Cores, m.ownMemory-a.task.Memory
 	left := slices.DeleteFunc(p.services[service], func(b *attempt) bool { return a == b })
 	if p.services[service] = left; len(left) == 0 {
 		delete(p.services, service)
