--- a/placer.go
+++ b/placer.go
@@ -540,16 +540,32 @@
 	return c.Effect == Keyed && p.now < t.mayRun.sentAt+c.Window-deadlineMargin
 }
 
-// choose looks in the task's own group first and then in ever farther ones, at first only at
-// machines that would serve it well, then at any that would accept it.
+// need is what a machine must offer to be drawn.
+type need struct {
+	warm bool // it holds the service's program
+	line int  // fewer than so many of our starts are pending there
+	full bool // room as far as it accepts, not only as far as it serves well
+}
+
+// needs are tried in turn, each over all groups from the task's own outwards. Starts cost
+// several times more where the program is absent, and a machine starts few tasks at a time:
+// so a machine with the program comes first, wherever it is, then one with an empty line.
+var needs = []need{
+	{warm: true, line: 2},
+	{line: 1},
+	{line: startLine},
+	{line: 2 * startLine, full: true},
+}
+
+// choose looks in the task's own group first and then in ever farther ones.
 func (p *Placer) choose(t *task) *machine {
-	for _, full := range []bool{false, true} {
-		if m := p.chooseIn(t, t.pool, full); m != nil {
+	for _, want := range needs {
+		if m := p.chooseIn(t, t.pool, want); m != nil {
 			return m
 		}
 		for k := range p.pools {
 			if k != t.pool && p.set.Classes[t.Class].Kind < 0 {
-				if m := p.chooseIn(t, k, full); m != nil {
+				if m := p.chooseIn(t, k, want); m != nil {
 					return m
 				}
 			}
@@ -558,7 +574,7 @@
 	return nil
 }
 
-func (p *Placer) chooseIn(t *task, kind int, full bool) *machine {
+func (p *Placer) chooseIn(t *task, kind int, want need) *machine {
 	pl := p.pools[kind]
 	n := pl.intervals()
 	if n == 0 {
@@ -571,7 +587,7 @@
 			if i < 0 || i >= n || d == 0 && i != own {
 				continue
 			}
-			if m := p.pick(t, pl.group(i, n), full); m != nil {
+			if m := p.pick(t, pl.group(i, n), want); m != nil {
 				return m
 			}
 			if d == 0 {
@@ -584,10 +600,10 @@
 
 // pick draws a handful of the group's machines with room, those that hold the service's
 // program first, and takes the tightest fit; ties at random.
-func (p *Placer) pick(t *task, group []*machine, full bool) *machine {
+func (p *Placer) pick(t *task, group []*machine, want need) *machine {
 	var room, warm []*machine
 	for _, m := range group {
-		if !p.allowed(t, m) || !p.fits(t, m, full) {
+		if !p.allowed(t, m) || !p.fits(t, m, want) {
 			continue
 		}
 		room = append(room, m)
@@ -734,16 +750,16 @@
 	m.hiddenAt = p.now
 }
 
-// fits says whether the machine has room: as much as it accepts where full is set, else as
-// much as leaves its tasks well served.
-func (p *Placer) fits(t *task, m *machine, full bool) bool {
-	if p.now < m.restUntil || m.starting >= 2*startLine {
+// fits says whether the machine has room: as much as it accepts where full is wanted,
+// else as much as leaves its tasks well served.
+func (p *Placer) fits(t *task, m *machine, want need) bool {
+	if p.now < m.restUntil || m.starting >= want.line || want.warm && !p.holds(m, t.Service) {
 		return false
 	}
 	kind := p.set.Kinds[m.Kind]
 	topCores, topMemory := p.set.AcceptCores, p.set.AcceptMemory
-	if !full {
-		if m.starting >= startLine || p.isCold(m) && m.starting > 0 {
+	if !want.full {
+		if p.isCold(m) && m.starting > 0 {
 			return false
 		}
 		topCores = min(topCores, p.set.Classes[t.Class].Calm/p.cores.ratio())
