--- a/placer.go
+++ b/placer.go
@@ -30,10 +30,8 @@
 	firstLag = 2
 	// Ended attempts are remembered this long for a view that is later still.
 	viewMemory = 10 * time.Second
-	// A start where the service's program is absent is work of so many others.
-	freshStart = 7
-	// A machine that has just come up starts more slowly by about this.
-	coldStart = 3
+	// A machine starts few tasks at a time; more than this of our own make each other late.
+	startLine = 3
 	// Programs that a machine is taken to keep after the last task of a service.
 	keptPrograms = 5
 	// What tasks use of what they ask, until notes tell.
@@ -119,7 +117,7 @@
 	ownCores     float64 // asked for by our live attempts here
 	ownMemory    float64
 	attempts     []*attempt // live, and ended within viewMemory
-	line         float64    // work of our starts that are pending here; 1 is a start with the program present
+	starting     int        // our attempts here whose task does not run yet
 	kept         []uint64   // services whose last task ended here, the latest last
 	cold         []time.Duration
 	failures     int
@@ -144,7 +142,6 @@
 	task    *task
 	machine *machine
 	number  int
-	start   float64 // work of its start
 	sentAt  time.Duration
 	endedAt time.Duration
 	bound   bool
@@ -545,19 +542,19 @@
 
 // need is what a machine must offer to be drawn.
 type need struct {
-	warm bool    // it holds the service's program
-	line float64 // our starts pending there are no more work than so many fresh ones
-	full bool    // room as far as it accepts, not only as far as it serves well
+	warm bool // it holds the service's program
+	line int  // fewer than so many of our starts are pending there
+	full bool // room as far as it accepts, not only as far as it serves well
 }
 
 // needs are tried in turn, each over all groups from the task's own outwards. Starts cost
 // several times more where the program is absent, and a machine starts few tasks at a time:
 // so a machine with the program comes first, wherever it is, then one with an empty line.
 var needs = []need{
-	{warm: true, line: 0.8},
-	{line: 0},
-	{line: 2},
-	{line: 4, full: true},
+	{warm: true, line: 2},
+	{line: 1},
+	{line: startLine},
+	{line: 2 * startLine, full: true},
 }
 
 // choose looks in the task's own group first and then in ever farther ones.
@@ -756,13 +753,13 @@
 // fits says whether the machine has room: as much as it accepts where full is wanted,
 // else as much as leaves its tasks well served.
 func (p *Placer) fits(t *task, m *machine, want need) bool {
-	if p.now < m.restUntil || m.line > want.line*freshStart+0.01 || want.warm && !p.holds(m, t.Service) {
+	if p.now < m.restUntil || m.starting >= want.line || want.warm && !p.holds(m, t.Service) {
 		return false
 	}
 	kind := p.set.Kinds[m.Kind]
 	topCores, topMemory := p.set.AcceptCores, p.set.AcceptMemory
 	if !want.full {
-		if p.isCold(m) && m.line > 0.01 {
+		if p.isCold(m) && m.starting > 0 {
 			return false
 		}
 		topCores = min(topCores, p.set.Classes[t.Class].Calm/p.cores.ratio())
@@ -782,7 +779,7 @@
 // holds says whether the machine has the service's program, as far as our own tasks tell.
 func (p *Placer) holds(m *machine, service uint64) bool {
 	for _, a := range p.services[service] {
-		if a.machine == m {
+		if a.machine == m && a.bound {
 			return true
 		}
 	}
@@ -798,16 +795,10 @@
 // ---- Attempts.
 
 func (p *Placer) attempt(t *task, m *machine) *attempt {
-	a := &attempt{task: t, machine: m, number: len(t.attempts), sentAt: p.now, start: 1}
-	if !p.holds(m, t.Service) {
-		a.start = freshStart
-	}
-	if p.isCold(m) {
-		a.start *= coldStart
-	}
+	a := &attempt{task: t, machine: m, number: len(t.attempts), sentAt: p.now}
 	t.attempts = append(t.attempts, a)
 	m.attempts = append(m.attempts, a)
-	m.line += a.start
+	m.starting++
 	m.ownCores, m.ownMemory = m.ownCores+t.Cores, m.ownMemory+t.Memory
 	p.services[t.Service] = append(p.services[t.Service], a)
 	return a
@@ -848,7 +839,7 @@
 func (p *Placer) runs(a *attempt) {
 	if !a.runs {
 		a.runs = true
-		a.machine.line -= a.start
+		a.machine.starting--
 	}
 }
 
