--- a/placer.go
+++ b/placer.go
@@ -32,8 +32,9 @@
 	viewMemory = 10 * time.Second
 	// A machine starts few tasks at a time; more than this of our own make each other late.
 	startLine = 3
-	// Programs that a machine is taken to keep after the last task of a service.
-	keptPrograms = 5
+	// Programs that a machine is taken to keep after the last task of a service. Too many costs
+	// nothing: where the program is gone after all, a start is as slow as anywhere else.
+	keptPrograms = 16
 	// What tasks use of what they ask, until notes tell.
 	guessedUse = 0.8
 	// Memory in use above this share slows a machine and then evicts.
@@ -551,7 +552,7 @@
 // several times more where the program is absent, and a machine starts few tasks at a time:
 // so a machine with the program comes first, wherever it is, then one with an empty line.
 var needs = []need{
-	{warm: true, line: 2},
+	{warm: true, line: 2 * startLine},
 	{line: 1},
 	{line: startLine},
 	{line: 2 * startLine, full: true},
@@ -779,7 +780,7 @@
 // holds says whether the machine has the service's program, as far as our own tasks tell.
 func (p *Placer) holds(m *machine, service uint64) bool {
 	for _, a := range p.services[service] {
-		if a.machine == m && a.bound {
+		if a.machine == m {
 			return true
 		}
 	}
