--- a/placer.go
+++ b/placer.go
@@ -7,6 +7,7 @@
 package forkhead
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -35,6 +36,8 @@
 	// Programs that a machine is taken to keep after the last task of a service. Too many costs
 	// nothing: where the program is gone after all, a start is as slow as anywhere else.
 	keptPrograms = 16
+	// Words of a message: pairs of a program and a machine, within 256 bytes.
+	newsWords = 64
 	// What tasks use of what they ask, until notes tell.
 	guessedUse = 0.8
 	// Memory in use above this share slows a machine and then evicts.
@@ -83,6 +86,7 @@
 	memory   usage
 	list     listState
 	lag      lagFinder
+	news     []uint32 // programs and machines to tell the others of
 }
 
 // lags are the candidates for how late the view is.
@@ -119,7 +123,7 @@
 	ownMemory    float64
 	attempts     []*attempt // live, and ended within viewMemory
 	starting     int        // our attempts here whose task does not run yet
-	kept         []uint64   // services whose last task ended here, the latest last
+	kept         []uint32   // programs taken to be here beside our tasks, the latest last
 	cold         []time.Duration
 	failures     int
 	suspectUntil time.Duration
@@ -180,6 +184,7 @@
 		p.changed = false
 		p.placeWaiting()
 	}
+	p.tell()
 	return p.out
 }
 
@@ -206,6 +211,8 @@
 		p.timer(int(ev.Timer>>32), uint32(ev.Timer))
 	case Probed:
 		p.probed(ev)
+	case Told:
+		p.told(ev.Data)
 	}
 }
 
@@ -784,7 +791,42 @@
 			return true
 		}
 	}
-	return slices.Contains(m.kept, service)
+	return slices.Contains(m.kept, program(service))
+}
+
+// program is the short name under which placers speak of a service's program.
+func program(service uint64) uint32 { return uint32(mix(service)) }
+
+// keep takes the program to be on the machine from now on, until newer ones displace it.
+func (m *machine) keep(program uint32) {
+	m.kept = slices.DeleteFunc(m.kept, func(other uint32) bool { return other == program })
+	if m.kept = append(m.kept, program); len(m.kept) > keptPrograms {
+		m.kept = m.kept[1:]
+	}
+}
+
+// tell lets the others know which programs our offers have just brought to which machines.
+func (p *Placer) tell() {
+	for len(p.news) > 0 && p.set.MayTell && p.set.Placers > 1 {
+		n := min(len(p.news), newsWords)
+		var data []byte
+		for _, word := range p.news[:n] {
+			data = binary.LittleEndian.AppendUint32(data, word)
+		}
+		p.do(Tell{To: Everyone, Data: data})
+		p.news = p.news[n:]
+	}
+	p.news = nil
+}
+
+// told takes such a message. It only ever makes a machine look better, so a lost one does no harm.
+func (p *Placer) told(data []byte) {
+	for ; len(data) >= 8; data = data[8:] {
+		id := MachineID(binary.LittleEndian.Uint32(data[4:]))
+		if m := p.machines[id]; m != nil {
+			m.keep(binary.LittleEndian.Uint32(data))
+		}
+	}
 }
 
 func (u *usage) ratio() float64 { return (u.used + guessedUse*20) / (u.asked + 20) }
@@ -796,6 +838,9 @@
 // ---- Attempts.
 
 func (p *Placer) attempt(t *task, m *machine) *attempt {
+	if !p.holds(m, t.Service) {
+		p.news = append(p.news, program(t.Service), uint32(m.ID))
+	}
 	a := &attempt{task: t, machine: m, number: len(t.attempts), sentAt: p.now}
 	t.attempts = append(t.attempts, a)
 	m.attempts = append(m.attempts, a)
@@ -831,7 +876,6 @@
 	a.bound = true
 	a.task.open = false
 	p.wellSeen(a.machine)
-	a.machine.kept = slices.DeleteFunc(a.machine.kept, func(s uint64) bool { return s == a.task.Service })
 	if p.set.BoundWhenRunning {
 		p.runs(a)
 	}
@@ -896,10 +940,8 @@
 	if p.services[service] = left; len(left) == 0 {
 		delete(p.services, service)
 	}
-	if a.bound && !p.holds(m, service) {
-		if m.kept = append(m.kept, service); len(m.kept) > keptPrograms {
-			m.kept = m.kept[1:]
-		}
+	if a.bound {
+		m.keep(program(service))
 	}
 	m.attempts = slices.DeleteFunc(m.attempts, func(b *attempt) bool {
 		return b.over && (!b.bound || b.endedAt < p.now-viewMemory)
