--- a/placer.go
+++ b/placer.go
@@ -294,8 +294,10 @@
 		return
 	}
 	m := p.machine(entry.ID)
-	if entry.Started > m.Started {
-		m.kept = nil
+	if entry.Started > m.Started || m.State == Gone {
+		// It is up anew: what its last life did says nothing. Guards against shutting out a machine
+		// that was found dead, left the list and came back; a wrong list costs one failed offer.
+		m.kept, m.probing, m.failures, m.suspectUntil = nil, false, 0, 0
 	}
 	if m.viewAt > 0 && entry.Started == m.Started {
 		p.learnLag(m, entry.FreeCores-m.FreeCores)
