--- a/placer.go
+++ b/placer.go
@@ -44,6 +44,12 @@
 	memoryCalm = 0.88
 	// An attempt without an answer for this long gets its machine probed.
 	patience = 700 * time.Millisecond
+	// A note that a task gets less than this share of full service takes a step off what its machine
+	// is given, down to the least; all of it comes back in easeBack.
+	wellServed = 0.9
+	easeStep   = 0.02
+	easeLeast  = 0.6
+	easeBack   = 30 * time.Second
 	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
@@ -131,6 +137,8 @@
 	hiddenAt     time.Duration // when a refusal showed that less is free than the view says
 	hiddenCores  float64       // by how much
 	hiddenMemory float64
+	ease         float64
+	easedAt      time.Duration
 	restUntil    time.Duration // its line of offers was full
 }
 
@@ -767,18 +775,29 @@
 		return false
 	}
 	kind := p.set.Kinds[m.Kind]
-	topCores, topMemory := p.set.AcceptCores, p.set.AcceptMemory
-	if !want.full {
-		if p.isCold(m) && m.starting > 0 {
-			return false
-		}
-		topCores = min(topCores, p.set.Classes[t.Class].Calm/p.cores.ratio())
+	c := &p.set.Classes[t.Class]
+	calm := c.Calm
+	if want.full {
+		calm += c.Fade / 2
+	} else if p.isCold(m) && m.starting > 0 {
+		return false
 	}
+	topCores, topMemory := min(p.set.AcceptCores, calm/p.cores.ratio()*m.easy(p.now)), p.set.AcceptMemory
 	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
 	cores, memory := p.free(m)
 	return t.Cores <= cores+kind.Cores*(topCores-1) && t.Memory <= memory+kind.Memory*(topMemory-1)
 }
 
+// easy is the share of its usual tasks that a machine is given. Tasks served poorly lower it,
+// whatever the cause: a slow machine, a swing in use, tasks that hide what they use. It comes
+// back by itself. It may hurt where a few tasks swing often and their machine is well.
+func (m *machine) easy(now time.Duration) float64 {
+	if m.ease == 0 {
+		return 1
+	}
+	return min(1, m.ease+float64(now-m.easedAt)/float64(easeBack))
+}
+
 // left is what the task would leave free, cores and memory each as a share of the machine.
 func (p *Placer) left(t *task, m *machine) float64 {
 	cores, memory := p.free(m)
@@ -898,6 +917,10 @@
 	switch ev.Kind {
 	case NoteRuns:
 		p.runs(a)
+	case NoteServed:
+		if m := a.machine; ev.Amount < wellServed {
+			m.ease, m.easedAt = max(m.easy(p.now)-easeStep, easeLeast), p.now
+		}
 	case NoteCores:
 		p.cores.learn(ev.Amount, a.task.Cores)
 	case NoteMemory:
