--- a/placer.go
+++ b/placer.go
@@ -47,9 +47,9 @@
 	// A note that a task gets less than this share of full service takes a step off what its machine
 	// is given, down to the least; all of it comes back in easeBack.
 	wellServed = 0.9
-	easeStep   = 0.02
+	easeStep   = 0.06
 	easeLeast  = 0.6
-	easeBack   = 30 * time.Second
+	easeBack   = 90 * time.Second
 	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
@@ -782,7 +782,7 @@
 	} else if p.isCold(m) && m.starting > 0 {
 		return false
 	}
-	topCores, topMemory := min(p.set.AcceptCores, calm/p.cores.ratio()*m.easy(p.now)), p.set.AcceptMemory
+	topCores, topMemory := min(p.set.AcceptCores, calm/p.cores.ratio())*m.easy(p.now), p.set.AcceptMemory
 	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
 	cores, memory := p.free(m)
 	return t.Cores <= cores+kind.Cores*(topCores-1) && t.Memory <= memory+kind.Memory*(topMemory-1)
