--- a/placer.go
+++ b/placer.go
@@ -776,13 +776,13 @@
 	}
 	kind := p.set.Kinds[m.Kind]
 	c := &p.set.Classes[t.Class]
-	calm := c.Calm
-	if want.full {
-		calm += c.Fade / 2
-	} else if p.isCold(m) && m.starting > 0 {
-		return false
+	topCores, topMemory := min(p.set.AcceptCores, (c.Calm+c.Fade/2)/p.cores.ratio()), p.set.AcceptMemory
+	if !want.full {
+		if p.isCold(m) && m.starting > 0 {
+			return false
+		}
+		topCores = min(topCores, c.Calm/p.cores.ratio()) * m.easy(p.now)
 	}
-	topCores, topMemory := min(p.set.AcceptCores, calm/p.cores.ratio())*m.easy(p.now), p.set.AcceptMemory
 	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
 	cores, memory := p.free(m)
 	return t.Cores <= cores+kind.Cores*(topCores-1) && t.Memory <= memory+kind.Memory*(topMemory-1)
