--- a/placer.go
+++ b/placer.go
@@ -36,8 +36,10 @@
 	// Programs that a machine is taken to keep after the last task of a service. Too many costs
 	// nothing: where the program is gone after all, a start is as slow as anywhere else.
 	keptPrograms = 16
-	// Words of a message: pairs of a program and a machine, within 256 bytes.
-	newsWords = 64
+	// A message holds so many offers of so many bytes, within 256; amounts are counted in 1/newsScale.
+	newsOffers = 21
+	newsSize   = 12
+	newsScale  = 256
 	// What tasks use of what they ask, until notes tell.
 	guessedUse = 0.8
 	// Memory in use above this share slows a machine and then evicts.
@@ -92,7 +94,7 @@
 	memory   usage
 	list     listState
 	lag      lagFinder
-	news     []uint32 // programs and machines to tell the others of
+	news     []*task // offered in this step, to tell the others of
 }
 
 // lags are the candidates for how late the view is.
@@ -129,6 +131,7 @@
 	ownMemory    float64
 	attempts     []*attempt // live, and ended within viewMemory
 	starting     int        // our attempts here whose task does not run yet
+	others       []taken    // offers that the other placers told of
 	kept         []uint32   // programs taken to be here beside our tasks, the latest last
 	cold         []time.Duration
 	failures     int
@@ -715,6 +718,11 @@
 	if m.hiddenAt > cut && p.now < m.hiddenAt+refusalHolds {
 		cores, memory = cores-m.hiddenCores, memory-m.hiddenMemory
 	}
+	for _, o := range m.others {
+		if o.at > cut {
+			cores, memory = cores-o.cores, memory-o.memory
+		}
+	}
 	kind := p.set.Kinds[m.Kind]
 	return min(cores, kind.Cores-m.ownCores), min(memory, kind.Memory-m.ownMemory)
 }
@@ -826,13 +834,16 @@
 	}
 }
 
-// tell lets the others know which programs our offers have just brought to which machines.
+// tell lets the others know of our offers: the program and the room that each takes where.
 func (p *Placer) tell() {
 	for len(p.news) > 0 && p.set.MayTell && p.set.Placers > 1 {
-		n := min(len(p.news), newsWords)
+		n := min(len(p.news), newsOffers)
 		var data []byte
-		for _, word := range p.news[:n] {
-			data = binary.LittleEndian.AppendUint32(data, word)
+		for _, t := range p.news[:n] {
+			data = binary.LittleEndian.AppendUint32(data, program(t.Service))
+			data = binary.LittleEndian.AppendUint32(data, uint32(t.attempts[len(t.attempts)-1].machine.ID))
+			data = binary.LittleEndian.AppendUint16(data, uint16(min(t.Cores*newsScale, math.MaxUint16)))
+			data = binary.LittleEndian.AppendUint16(data, uint16(min(t.Memory*newsScale, math.MaxUint16)))
 		}
 		p.do(Tell{To: Everyone, Data: data})
 		p.news = p.news[n:]
@@ -840,16 +851,31 @@
 	p.news = nil
 }
 
-// told takes such a message. It only ever makes a machine look better, so a lost one does no harm.
+// told takes such a message: until the view knows, its offers count like our own. It guards
+// against placers that all see the same room and fill it at once. A lost message costs a
+// refusal; an offer that was turned away hides room until the view is newer.
 func (p *Placer) told(data []byte) {
-	for ; len(data) >= 8; data = data[8:] {
-		id := MachineID(binary.LittleEndian.Uint32(data[4:]))
-		if m := p.machines[id]; m != nil {
-			m.keep(binary.LittleEndian.Uint32(data))
+	for ; len(data) >= newsSize; data = data[newsSize:] {
+		m := p.machines[MachineID(binary.LittleEndian.Uint32(data[4:]))]
+		if m == nil {
+			continue
 		}
+		m.keep(binary.LittleEndian.Uint32(data))
+		m.others = slices.DeleteFunc(m.others, func(o taken) bool { return o.at < p.now-viewMemory })
+		m.others = append(m.others, taken{
+			at:     p.now,
+			cores:  float64(binary.LittleEndian.Uint16(data[8:])) / newsScale,
+			memory: float64(binary.LittleEndian.Uint16(data[10:])) / newsScale,
+		})
 	}
 }
 
+// taken is room that another placer's offer takes.
+type taken struct {
+	at            time.Duration
+	cores, memory float64
+}
+
 func (u *usage) ratio() float64 { return (u.used + guessedUse*20) / (u.asked + 20) }
 
 func (u *usage) learn(used, asked float64) {
@@ -859,9 +885,6 @@
 // ---- Attempts.
 
 func (p *Placer) attempt(t *task, m *machine) *attempt {
-	if !p.holds(m, t.Service) {
-		p.news = append(p.news, program(t.Service), uint32(m.ID))
-	}
 	a := &attempt{task: t, machine: m, number: len(t.attempts), sentAt: p.now}
 	t.attempts = append(t.attempts, a)
 	m.attempts = append(m.attempts, a)
@@ -873,6 +896,7 @@
 
 func (p *Placer) offer(t *task, m *machine) {
 	p.attempt(t, m)
+	p.news = append(p.news, t)
 	if p.isCold(m) {
 		m.cold = append(m.cold, p.now)
 	}
