--- a/placer.go
+++ b/placer.go
@@ -36,10 +36,10 @@
 	// Programs that a machine is taken to keep after the last task of a service. Too many costs
 	// nothing: where the program is gone after all, a start is as slow as anywhere else.
 	keptPrograms = 16
-	// A message holds so many offers of so many bytes, within 256; amounts are counted in 1/newsScale.
-	newsOffers = 21
-	newsSize   = 12
-	newsScale  = 256
+	// A message holds so many items of so many bytes, within 256; amounts are counted in 1/newsScale.
+	newsItems = 21
+	newsSize  = 12
+	newsScale = 64
 	// What tasks use of what they ask, until notes tell.
 	guessedUse = 0.8
 	// Memory in use above this share slows a machine and then evicts.
@@ -94,7 +94,7 @@
 	memory   usage
 	list     listState
 	lag      lagFinder
-	news     []*task // offered in this step, to tell the others of
+	news     []news // of this step, to tell the others
 }
 
 // lags are the candidates for how late the view is.
@@ -131,7 +131,7 @@
 	ownMemory    float64
 	attempts     []*attempt // live, and ended within viewMemory
 	starting     int        // our attempts here whose task does not run yet
-	others       []taken    // offers that the other placers told of
+	others       []news     // what the other placers told
 	kept         []uint32   // programs taken to be here beside our tasks, the latest last
 	cold         []time.Duration
 	failures     int
@@ -713,22 +713,17 @@
 // with what a refusal has shown. It is never more than our own tasks alone leave.
 func (p *Placer) free(m *machine) (cores, memory float64) {
 	cut := m.viewAt - lags[p.lag.best]
-	newCores, newMemory := m.ownSince(cut)
+	newCores, newMemory := m.since(cut)
 	cores, memory = m.FreeCores-newCores, m.FreeMemory-newMemory
 	if m.hiddenAt > cut && p.now < m.hiddenAt+refusalHolds {
 		cores, memory = cores-m.hiddenCores, memory-m.hiddenMemory
 	}
-	for _, o := range m.others {
-		if o.at > cut {
-			cores, memory = cores-o.cores, memory-o.memory
-		}
-	}
 	kind := p.set.Kinds[m.Kind]
 	return min(cores, kind.Cores-m.ownCores), min(memory, kind.Memory-m.ownMemory)
 }
 
-// ownSince is what our own tasks on the machine ask for now, less what they asked for at a time.
-func (m *machine) ownSince(at time.Duration) (cores, memory float64) {
+// since is what the tasks we know of ask for on the machine now, less what they did at a time.
+func (m *machine) since(at time.Duration) (cores, memory float64) {
 	for _, a := range m.attempts {
 		if a.sentAt > at && (a.bound || !a.over) {
 			cores, memory = cores+a.task.Cores, memory+a.task.Memory
@@ -737,6 +732,11 @@
 			cores, memory = cores-a.task.Cores, memory-a.task.Memory
 		}
 	}
+	for _, o := range m.others {
+		if o.at > at {
+			cores, memory = cores+o.cores, memory+o.memory
+		}
+	}
 	return cores, memory
 }
 
@@ -747,8 +747,8 @@
 		return
 	}
 	for i, lag := range lags {
-		before, _ := m.ownSince(m.viewAt - lag)
-		after, _ := m.ownSince(p.now - lag)
+		before, _ := m.since(m.viewAt - lag)
+		after, _ := m.since(p.now - lag)
 		p.lag.miss[i] = p.lag.miss[i]*0.98 + math.Abs(change+before-after)
 		if p.lag.miss[i] < p.lag.miss[p.lag.best] {
 			p.lag.best = i
@@ -834,16 +834,34 @@
 	}
 }
 
-// tell lets the others know of our offers: the program and the room that each takes where.
+// news is room that a task takes on a machine, or leaves where the amounts are negative.
+type news struct {
+	at            time.Duration
+	program       uint32
+	machine       MachineID
+	cores, memory float64
+}
+
+// changedRoom notes a change for the others; the attempt's machine takes or frees its task's room.
+func (p *Placer) changedRoom(a *attempt, sign float64) {
+	if p.set.MayTell && p.set.Placers > 1 {
+		p.news = append(p.news, news{
+			program: program(a.task.Service), machine: a.machine.ID,
+			cores: sign * a.task.Cores, memory: sign * a.task.Memory,
+		})
+	}
+}
+
+// tell lets the others know what room our tasks took and left where, and with what program.
 func (p *Placer) tell() {
-	for len(p.news) > 0 && p.set.MayTell && p.set.Placers > 1 {
-		n := min(len(p.news), newsOffers)
+	for len(p.news) > 0 {
+		n := min(len(p.news), newsItems)
 		var data []byte
-		for _, t := range p.news[:n] {
-			data = binary.LittleEndian.AppendUint32(data, program(t.Service))
-			data = binary.LittleEndian.AppendUint32(data, uint32(t.attempts[len(t.attempts)-1].machine.ID))
-			data = binary.LittleEndian.AppendUint16(data, uint16(min(t.Cores*newsScale, math.MaxUint16)))
-			data = binary.LittleEndian.AppendUint16(data, uint16(min(t.Memory*newsScale, math.MaxUint16)))
+		for _, item := range p.news[:n] {
+			data = binary.LittleEndian.AppendUint32(data, item.program)
+			data = binary.LittleEndian.AppendUint32(data, uint32(item.machine))
+			data = binary.LittleEndian.AppendUint16(data, pack(item.cores))
+			data = binary.LittleEndian.AppendUint16(data, pack(item.memory))
 		}
 		p.do(Tell{To: Everyone, Data: data})
 		p.news = p.news[n:]
@@ -851,9 +869,15 @@
 	p.news = nil
 }
 
-// told takes such a message: until the view knows, its offers count like our own. It guards
+func pack(amount float64) uint16 {
+	return uint16(int16(min(max(amount*newsScale, math.MinInt16), math.MaxInt16)))
+}
+
+func unpack(word []byte) float64 { return float64(int16(binary.LittleEndian.Uint16(word))) / newsScale }
+
+// told takes such a message: until the view knows, it counts like our own changes. It guards
 // against placers that all see the same room and fill it at once. A lost message costs a
-// refusal; an offer that was turned away hides room until the view is newer.
+// refusal, or hides some room until the view is newer.
 func (p *Placer) told(data []byte) {
 	for ; len(data) >= newsSize; data = data[newsSize:] {
 		m := p.machines[MachineID(binary.LittleEndian.Uint32(data[4:]))]
@@ -861,21 +885,12 @@
 			continue
 		}
 		m.keep(binary.LittleEndian.Uint32(data))
-		m.others = slices.DeleteFunc(m.others, func(o taken) bool { return o.at < p.now-viewMemory })
-		m.others = append(m.others, taken{
-			at:     p.now,
-			cores:  float64(binary.LittleEndian.Uint16(data[8:])) / newsScale,
-			memory: float64(binary.LittleEndian.Uint16(data[10:])) / newsScale,
-		})
+		m.others = slices.DeleteFunc(m.others, func(o news) bool { return o.at < p.now-viewMemory })
+		m.others = append(m.others, news{at: p.now, cores: unpack(data[8:]), memory: unpack(data[10:])})
+		p.changed = true
 	}
 }
 
-// taken is room that another placer's offer takes.
-type taken struct {
-	at            time.Duration
-	cores, memory float64
-}
-
 func (u *usage) ratio() float64 { return (u.used + guessedUse*20) / (u.asked + 20) }
 
 func (u *usage) learn(used, asked float64) {
@@ -895,8 +910,7 @@
 }
 
 func (p *Placer) offer(t *task, m *machine) {
-	p.attempt(t, m)
-	p.news = append(p.news, t)
+	p.changedRoom(p.attempt(t, m), 1)
 	if p.isCold(m) {
 		m.cold = append(m.cold, p.now)
 	}
@@ -983,6 +997,7 @@
 func (p *Placer) close(a *attempt) {
 	p.runs(a)
 	a.over, a.endedAt = true, p.now
+	p.changedRoom(a, -1)
 	m, service := a.machine, a.task.Service
 	m.ownCores, m.ownMemory = m.ownCores-a.task.Cores, m.ownMemory-a.task.Memory
 	left := slices.DeleteFunc(p.services[service], func(b *attempt) bool { return a == b })
