--- a/placer.go
+++ b/placer.go
@@ -7,7 +7,6 @@
 package forkhead
 
 import (
-	"encoding/binary"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -36,10 +35,6 @@
 	// Programs that a machine is taken to keep after the last task of a service. Too many costs
 	// nothing: where the program is gone after all, a start is as slow as anywhere else.
 	keptPrograms = 16
-	// A message holds so many items of so many bytes, within 256; amounts are counted in 1/newsScale.
-	newsItems = 21
-	newsSize  = 12
-	newsScale = 64
 	// What tasks use of what they ask, until notes tell.
 	guessedUse = 0.8
 	// Memory in use above this share slows a machine and then evicts.
@@ -77,94 +72,12 @@
 	timerSuspect
 )
 
-// Placer decides for one placer. It is not safe for concurrent use.
-type Placer struct {
-	set      Settings
-	rng      *rand.Rand
-	now      time.Duration
-	out      []Action
-	machines map[MachineID]*machine
-	pools    []*pool // by kind
-	tasks    map[TaskID]*task
-	services map[uint64][]*attempt // live attempts of each service
-	waiting  []*task               // no machine yet, in order of arrival
-	retry    bool                  // a retry timer is out
-	changed  bool                  // room may have come up
-	cores    usage
-	memory   usage
-	list     listState
-	lag      lagFinder
-	news     []news // of this step, to tell the others
-}
-
 // lags are the candidates for how late the view is.
 var lags = [...]time.Duration{
 	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond,
 	2 * time.Second, 3 * time.Second, 4500 * time.Millisecond, 7 * time.Second,
 }
 
-// lagFinder learns which lag makes changes of the view match our own binds and ends best.
-type lagFinder struct {
-	miss [len(lags)]float64
-	best int
-}
-
-// pool is the machines of one kind and the sizes of the tasks that came for them.
-type pool struct {
-	order []*machine // by the fixed hash of their ids
-	sizes histogram
-}
-
-// usage learns how much of what is asked is used.
-type usage struct{ used, asked float64 }
-
-// listState follows the list where it must be asked.
-type listState struct {
-	started, waiting bool
-	failures         int
-}
-
-type machine struct {
-	Machine
-	viewAt       time.Duration
-	ownCores     float64 // asked for by our live attempts here
-	ownMemory    float64
-	attempts     []*attempt // live, and ended within viewMemory
-	starting     int        // our attempts here whose task does not run yet
-	others       []news     // what the other placers told
-	kept         []uint32   // programs taken to be here beside our tasks, the latest last
-	cold         []time.Duration
-	failures     int
-	suspectUntil time.Duration
-	probing      bool
-	hiddenAt     time.Duration // when a refusal showed that less is free than the view says
-	hiddenCores  float64       // by how much
-	hiddenMemory float64
-	ease         float64
-	easedAt      time.Duration
-	restUntil    time.Duration // its line of offers was full
-}
-
-type task struct {
-	Task
-	deadline time.Duration
-	pool     int
-	attempts []*attempt
-	open     bool     // an answer is owed
-	mayRun   *attempt // the first attempt that may have run
-}
-
-type attempt struct {
-	task    *task
-	machine *machine
-	number  int
-	sentAt  time.Duration
-	endedAt time.Duration
-	bound   bool
-	runs    bool
-	over    bool
-}
-
 // New returns a placer for the settings, or an error that names the field it cannot use.
 func New(set Settings, seed uint64) (*Placer, error) {
 	if err := check(&set); err != nil {
@@ -227,12 +140,6 @@
 	}
 }
 
-func (p *Placer) do(a Action) { p.out = append(p.out, a) }
-
-func (p *Placer) setTimer(purpose int, id uint32, after time.Duration) {
-	p.do(SetTimer{Timer: uint64(purpose)<<32 | uint64(id), At: p.now + after})
-}
-
 func (p *Placer) timer(purpose int, id uint32) {
 	switch purpose {
 	case timerDeadline:
@@ -314,23 +221,13 @@
 		p.learnLag(m, entry.FreeCores-m.FreeCores)
 	}
 	m.Machine = entry
-	m.viewAt = p.now
+	m.viewAt, m.stale = p.now, true
 	if !p.set.ListsFree {
 		k := p.set.Kinds[m.Kind]
 		m.FreeCores, m.FreeMemory, m.viewAt = k.Cores, k.Memory, -viewMemory
 	}
 }
 
-// machine returns the machine of that id; one that no list has named is Gone.
-func (p *Placer) machine(id MachineID) *machine {
-	m := p.machines[id]
-	if m == nil {
-		m = &machine{Machine: Machine{ID: id, State: Gone, Cell: -1, Zone: -1}}
-		p.machines[id] = m
-	}
-	return m
-}
-
 // reorder lays the machines of each kind out by the hash of their ids. A draining
 // machine keeps its slot, so that the groups stay as they are until it is gone.
 func (p *Placer) reorder() {
@@ -355,17 +252,6 @@
 	}
 }
 
-// mix is a fixed hash, the same at every placer.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// share maps a hash to [0, 1).
-func share(h uint64) float64 { return float64(h>>11) / (1 << 53) }
-
 // ---- Sizes, intervals and groups.
 
 // histogram holds the load of each size: the asked cores of the tasks that had it, decayed.
@@ -494,16 +380,28 @@
 func (p *Placer) placeWaiting() {
 	line := p.waiting
 	p.waiting = nil
+	cores, memory := p.mostFree()
 	for _, t := range line {
-		if t.open && !p.out1(t) && !p.place(t) {
+		if !t.open || p.out1(t) {
+			continue
+		}
+		if t.Cores > cores || t.Memory > memory || !p.place(t) {
 			p.wait(t)
 		}
 	}
 }
 
-// out1 says whether an attempt of the task is out.
-func (p *Placer) out1(t *task) bool {
-	return len(t.attempts) > 0 && !t.attempts[len(t.attempts)-1].over
+// mostFree is more room than any machine has, so that a long line of waiting tasks is cheap to try.
+func (p *Placer) mostFree() (cores, memory float64) {
+	for _, pl := range p.pools {
+		for _, m := range pl.order {
+			c, mem := p.free(m)
+			kind := p.set.Kinds[m.Kind]
+			cores = max(cores, c+kind.Cores*(p.set.AcceptCores-1))
+			memory = max(memory, mem+kind.Memory*(p.set.AcceptMemory-1))
+		}
+	}
+	return cores, memory
 }
 
 // end gives the task its final answer: a refusal where that is harmless, else a failure.
@@ -528,13 +426,6 @@
 	p.forget(t)
 }
 
-// forget drops a task that is owed nothing once its last attempt is over.
-func (p *Placer) forget(t *task) {
-	if !t.open && !p.out1(t) {
-		delete(p.tasks, t.ID)
-	}
-}
-
 // ---- Choosing a machine.
 
 // place offers the task to a machine, ends it where nothing more may be sent, or returns
@@ -683,19 +574,6 @@
 	return n < c.Most
 }
 
-// same says whether two machines are in one such place.
-func same(place Place, a, b *machine) bool {
-	switch place {
-	case OnMachine:
-		return a == b
-	case InCell:
-		return a.Cell == b.Cell
-	case InZone:
-		return a.Zone == b.Zone
-	}
-	return true
-}
-
 func (p *Placer) isCold(m *machine) bool { return m.Started > 0 && p.now < m.Started+p.set.ColdFor }
 
 // coldBudget keeps the offers to a cold machine to our share of what it always bears.
@@ -712,6 +590,9 @@
 // free is what the view shows as not asked for, with our own binds and ends since then and
 // with what a refusal has shown. It is never more than our own tasks alone leave.
 func (p *Placer) free(m *machine) (cores, memory float64) {
+	if !m.stale && p.now < m.freeAt+retryEvery {
+		return m.freeCores, m.freeMemory
+	}
 	cut := m.viewAt - lags[p.lag.best]
 	newCores, newMemory := m.since(cut)
 	cores, memory = m.FreeCores-newCores, m.FreeMemory-newMemory
@@ -719,25 +600,9 @@
 		cores, memory = cores-m.hiddenCores, memory-m.hiddenMemory
 	}
 	kind := p.set.Kinds[m.Kind]
-	return min(cores, kind.Cores-m.ownCores), min(memory, kind.Memory-m.ownMemory)
-}
-
-// since is what the tasks we know of ask for on the machine now, less what they did at a time.
-func (m *machine) since(at time.Duration) (cores, memory float64) {
-	for _, a := range m.attempts {
-		if a.sentAt > at && (a.bound || !a.over) {
-			cores, memory = cores+a.task.Cores, memory+a.task.Memory
-		}
-		if a.over && a.bound && a.endedAt > at {
-			cores, memory = cores-a.task.Cores, memory-a.task.Memory
-		}
-	}
-	for _, o := range m.others {
-		if o.at > at {
-			cores, memory = cores+o.cores, memory+o.memory
-		}
-	}
-	return cores, memory
+	m.freeCores, m.freeMemory = min(cores, kind.Cores-m.ownCores), min(memory, kind.Memory-m.ownMemory)
+	m.freeAt, m.stale = p.now, false
+	return m.freeCores, m.freeMemory
 }
 
 // learnLag compares a change of the view with that of our own tasks under each lag. It guards
@@ -773,7 +638,7 @@
 		m.restUntil = p.now + lineRest
 		return
 	}
-	m.hiddenAt = p.now
+	m.hiddenAt, m.stale = p.now, true
 }
 
 // fits says whether the machine has room: as much as it accepts where full is wanted,
@@ -823,9 +688,6 @@
 	return slices.Contains(m.kept, program(service))
 }
 
-// program is the short name under which placers speak of a service's program.
-func program(service uint64) uint32 { return uint32(mix(service)) }
-
 // keep takes the program to be on the machine from now on, until newer ones displace it.
 func (m *machine) keep(program uint32) {
 	m.kept = slices.DeleteFunc(m.kept, func(other uint32) bool { return other == program })
@@ -834,14 +696,6 @@
 	}
 }
 
-// news is room that a task takes on a machine, or leaves where the amounts are negative.
-type news struct {
-	at            time.Duration
-	program       uint32
-	machine       MachineID
-	cores, memory float64
-}
-
 // changedRoom notes a change for the others; the attempt's machine takes or frees its task's room.
 func (p *Placer) changedRoom(a *attempt, sign float64) {
 	if p.set.MayTell && p.set.Placers > 1 {
@@ -854,40 +708,26 @@
 
 // tell lets the others know what room our tasks took and left where, and with what program.
 func (p *Placer) tell() {
-	for len(p.news) > 0 {
-		n := min(len(p.news), newsItems)
-		var data []byte
-		for _, item := range p.news[:n] {
-			data = binary.LittleEndian.AppendUint32(data, item.program)
-			data = binary.LittleEndian.AppendUint32(data, uint32(item.machine))
-			data = binary.LittleEndian.AppendUint16(data, pack(item.cores))
-			data = binary.LittleEndian.AppendUint16(data, pack(item.memory))
-		}
+	for _, data := range packNews(p.news) {
 		p.do(Tell{To: Everyone, Data: data})
-		p.news = p.news[n:]
 	}
 	p.news = nil
 }
 
-func pack(amount float64) uint16 {
-	return uint16(int16(min(max(amount*newsScale, math.MinInt16), math.MaxInt16)))
-}
-
-func unpack(word []byte) float64 { return float64(int16(binary.LittleEndian.Uint16(word))) / newsScale }
-
 // told takes such a message: until the view knows, it counts like our own changes. It guards
 // against placers that all see the same room and fill it at once. A lost message costs a
 // refusal, or hides some room until the view is newer.
 func (p *Placer) told(data []byte) {
-	for ; len(data) >= newsSize; data = data[newsSize:] {
-		m := p.machines[MachineID(binary.LittleEndian.Uint32(data[4:]))]
+	for _, item := range unpackNews(data) {
+		m := p.machines[item.machine]
 		if m == nil {
 			continue
 		}
-		m.keep(binary.LittleEndian.Uint32(data))
+		m.keep(item.program)
+		item.at = p.now
 		m.others = slices.DeleteFunc(m.others, func(o news) bool { return o.at < p.now-viewMemory })
-		m.others = append(m.others, news{at: p.now, cores: unpack(data[8:]), memory: unpack(data[10:])})
-		p.changed = true
+		m.others = append(m.others, item)
+		m.stale = true
 	}
 }
 
@@ -904,7 +744,7 @@
 	t.attempts = append(t.attempts, a)
 	m.attempts = append(m.attempts, a)
 	m.starting++
-	m.ownCores, m.ownMemory = m.ownCores+t.Cores, m.ownMemory+t.Memory
+	m.ownCores, m.ownMemory, m.stale = m.ownCores+t.Cores, m.ownMemory+t.Memory, true
 	p.services[t.Service] = append(p.services[t.Service], a)
 	return a
 }
@@ -918,21 +758,12 @@
 	p.setTimer(timerPatience, uint32(t.ID), patience)
 }
 
-// live returns the attempt of that number if it is the task's and not over.
-func (p *Placer) live(id TaskID, number int) *attempt {
-	t := p.tasks[id]
-	if t == nil || number < 0 || number >= len(t.attempts) || t.attempts[number].over {
-		return nil
-	}
-	return t.attempts[number]
-}
-
 func (p *Placer) bound(ev Bound) {
 	a := p.live(ev.Task, ev.Attempt)
 	if a == nil {
 		return
 	}
-	a.bound = true
+	a.bound, a.machine.stale = true, true
 	a.task.open = false
 	p.wellSeen(a.machine)
 	if p.set.BoundWhenRunning {
@@ -940,13 +771,6 @@
 	}
 }
 
-func (p *Placer) runs(a *attempt) {
-	if !a.runs {
-		a.runs = true
-		a.machine.starting--
-	}
-}
-
 func (p *Placer) note(ev Note) {
 	a := p.live(ev.Task, ev.Attempt)
 	if a == nil {
@@ -999,7 +823,7 @@
 	a.over, a.endedAt = true, p.now
 	p.changedRoom(a, -1)
 	m, service := a.machine, a.task.Service
-	m.ownCores, m.ownMemory = m.ownCores-a.task.Cores, m.ownMemory-a.task.Memory
+	m.ownCores, m.ownMemory, m.stale = m.ownCores-a.task.Cores, m.ownMemory-a.task.Memory, true
 	left := slices.DeleteFunc(p.services[service], func(b *attempt) bool { return a == b })
 	if p.services[service] = left; len(left) == 0 {
 		delete(p.services, service)
@@ -1079,5 +903,5 @@
 	if r == nil || p.set.ListsFree || !p.set.ReportsAsked || !(math.Abs(r.Cores+r.Memory) < 1e12) {
 		return
 	}
-	m.FreeCores, m.FreeMemory, m.viewAt = r.Cores, r.Memory, p.now
+	m.FreeCores, m.FreeMemory, m.viewAt, m.stale = r.Cores, r.Memory, p.now, true
 }
--- /dev/null
+++ b/state.go
@@ -0,0 +1,189 @@
+package forkhead
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Placer decides for one placer. It is not safe for concurrent use.
+type Placer struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	machines map[MachineID]*machine
+	pools    []*pool // by kind
+	tasks    map[TaskID]*task
+	services map[uint64][]*attempt // live attempts of each service
+	waiting  []*task               // no machine yet, in order of arrival
+	retry    bool                  // a retry timer is out
+	changed  bool                  // room may have come up
+	cores    usage
+	memory   usage
+	list     listState
+	lag      lagFinder
+	news     []news // of this step, to tell the others
+}
+
+// lagFinder learns which lag makes changes of the view match our own binds and ends best.
+type lagFinder struct {
+	miss [len(lags)]float64
+	best int
+}
+
+// pool is the machines of one kind and the sizes of the tasks that came for them.
+type pool struct {
+	order []*machine // by the fixed hash of their ids
+	sizes histogram
+}
+
+// usage learns how much of what is asked is used.
+type usage struct{ used, asked float64 }
+
+// listState follows the list where it must be asked.
+type listState struct {
+	started, waiting bool
+	failures         int
+}
+
+type machine struct {
+	Machine
+	viewAt       time.Duration
+	ownCores     float64 // asked for by our live attempts here
+	ownMemory    float64
+	attempts     []*attempt // live, and ended within viewMemory
+	starting     int        // our attempts here whose task does not run yet
+	others       []news     // what the other placers told
+	kept         []uint32   // programs taken to be here beside our tasks, the latest last
+	cold         []time.Duration
+	failures     int
+	suspectUntil time.Duration
+	probing      bool
+	hiddenAt     time.Duration // when a refusal showed that less is free than the view says
+	hiddenCores  float64       // by how much
+	hiddenMemory float64
+	ease         float64
+	easedAt      time.Duration
+	freeCores    float64 // what free last returned, until stale
+	freeMemory   float64
+	freeAt       time.Duration
+	stale        bool
+	restUntil    time.Duration // its line of offers was full
+}
+
+type task struct {
+	Task
+	deadline time.Duration
+	pool     int
+	attempts []*attempt
+	open     bool     // an answer is owed
+	mayRun   *attempt // the first attempt that may have run
+}
+
+type attempt struct {
+	task    *task
+	machine *machine
+	number  int
+	sentAt  time.Duration
+	endedAt time.Duration
+	bound   bool
+	runs    bool
+	over    bool
+}
+
+// news is room that a task takes on a machine, or leaves where the amounts are negative.
+type news struct {
+	at            time.Duration
+	program       uint32
+	machine       MachineID
+	cores, memory float64
+}
+
+// mix is a fixed hash, the same at every placer.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// share maps a hash to [0, 1).
+func share(h uint64) float64 { return float64(h>>11) / (1 << 53) }
+
+// same says whether two machines are in one such place.
+func same(place Place, a, b *machine) bool {
+	switch place {
+	case OnMachine:
+		return a == b
+	case InCell:
+		return a.Cell == b.Cell
+	case InZone:
+		return a.Zone == b.Zone
+	}
+	return true
+}
+
+// machine returns the machine of that id; one that no list has named is Gone.
+func (p *Placer) machine(id MachineID) *machine {
+	m := p.machines[id]
+	if m == nil {
+		m = &machine{Machine: Machine{ID: id, State: Gone, Cell: -1, Zone: -1}}
+		p.machines[id] = m
+	}
+	return m
+}
+
+// live returns the attempt of that number if it is the task's and not over.
+func (p *Placer) live(id TaskID, number int) *attempt {
+	t := p.tasks[id]
+	if t == nil || number < 0 || number >= len(t.attempts) || t.attempts[number].over {
+		return nil
+	}
+	return t.attempts[number]
+}
+
+// program is the short name under which placers speak of a service's program.
+func program(service uint64) uint32 { return uint32(mix(service)) }
+
+// since is what the tasks we know of ask for on the machine now, less what they did at a time.
+func (m *machine) since(at time.Duration) (cores, memory float64) {
+	for _, a := range m.attempts {
+		if a.sentAt > at && (a.bound || !a.over) {
+			cores, memory = cores+a.task.Cores, memory+a.task.Memory
+		}
+		if a.over && a.bound && a.endedAt > at {
+			cores, memory = cores-a.task.Cores, memory-a.task.Memory
+		}
+	}
+	for _, o := range m.others {
+		if o.at > at {
+			cores, memory = cores+o.cores, memory+o.memory
+		}
+	}
+	return cores, memory
+}
+
+// out1 says whether an attempt of the task is out.
+func (p *Placer) out1(t *task) bool {
+	return len(t.attempts) > 0 && !t.attempts[len(t.attempts)-1].over
+}
+
+// forget drops a task that is owed nothing once its last attempt is over.
+func (p *Placer) forget(t *task) {
+	if !t.open && !p.out1(t) {
+		delete(p.tasks, t.ID)
+	}
+}
+
+func (p *Placer) runs(a *attempt) {
+	if !a.runs {
+		a.runs = true
+		a.machine.starting--
+	}
+}
+
+func (p *Placer) do(a Action) { p.out = append(p.out, a) }
+
+func (p *Placer) setTimer(purpose int, id uint32, after time.Duration) {
+	p.do(SetTimer{Timer: uint64(purpose)<<32 | uint64(id), At: p.now + after})
+}
