--- /dev/null
+++ b/cmd/benchlink/main_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+)
+
+const info = `{"az": 0, "balancers": 2, "me": 0, "discovery": "subscribe",
+ "caps": {"cancel": true, "maxAttempts": 4, "peers": true, "probing": true},
+ "classes": [{"aim": 800.0, "effect": "dedup", "group": "cell", "memorySpan": 8000.0, "points": 2.0}],
+ "familyInfo": {"acceptsCores": 1.0, "memBooking": 1.0, "classFade": [0.2], "classMost": [2], "classPriority": [0],
+  "classSpread": ["zone"], "coldSends": 40.0, "easyUntil": [0.8], "kindByClass": [-1], "kindCores": [8], "listsFree": true,
+  "meanMemory": 2.0, "memoryByKind": [16.0], "promptStartS": [10.0], "saysYes": "running", "unitCores": 1.0},
+ "kinds": ["any"], "loadInfo": {"fields": ["x0"], "how": "none"},
+ "rules": {"cold": 9000.0, "fall": 1000.0, "mustAskIn": 10000.0, "stopSendingWithin": 1000.0}}`
+
+// record writes one event; a string stands for u32 n + n bytes.
+func record(code uint8, values ...any) []byte {
+	var body []byte
+	for _, v := range values {
+		switch v := v.(type) {
+		case uint8:
+			body = append(body, v)
+		case uint16:
+			body = binary.LittleEndian.AppendUint16(body, v)
+		case uint32:
+			body = binary.LittleEndian.AppendUint32(body, v)
+		case uint64:
+			body = binary.LittleEndian.AppendUint64(body, v)
+		case float32:
+			body = binary.LittleEndian.AppendUint32(body, math.Float32bits(v))
+		case float64:
+			body = binary.LittleEndian.AppendUint64(body, math.Float64bits(v))
+		case string:
+			body = append(binary.LittleEndian.AppendUint32(body, uint32(len(v))), v...)
+		default:
+			panic(fmt.Sprintf("no form for %T", v))
+		}
+	}
+	return append(binary.LittleEndian.AppendUint32([]byte{code}, uint32(len(body))), body...)
+}
+
+func batch(clock float64, records ...[]byte) []byte {
+	body := bytes.Join(records, nil)
+	out := binary.LittleEndian.AppendUint32(nil, uint32(12+len(body)))
+	out = binary.LittleEndian.AppendUint64(out, math.Float64bits(clock))
+	out = binary.LittleEndian.AppendUint32(out, uint32(len(records)))
+	return append(out, body...)
+}
+
+func boot(placer uint32, text string) []byte { return record(7, placer, uint64(5), text) }
+
+func start(placer uint32) [][]byte {
+	page := record(10, uint8(0), uint32(1), 0.0, uint32(77), float32(8), float32(16), uint8(1), uint8(0), float32(1),
+		uint16(0), uint16(0))
+	return [][]byte{boot(placer, info), page, record(13, placer, uint8(0), uint32(1), uint8(0))}
+}
+
+func ask(placer, id uint32) []byte {
+	return record(6, placer, id, uint8(0), uint16(0), uint64(9), 5000.0, 0.0, uint64(4), float32(1), float32(1), uint8(0))
+}
+
+func TestTaskIsOfferedToTheListedHost(t *testing.T) {
+	var out bytes.Buffer
+	input := append(batch(1000, start(3)...), batch(1002, ask(3, 12))...)
+	if err := run(bytes.NewReader(input), &out); err != nil {
+		t.Fatal(err)
+	}
+	put := append([]byte{1, 20, 0, 0, 0, 3, 0, 0, 0}, 12, 0, 0, 0, 77, 0, 0, 0)
+	if !bytes.Contains(out.Bytes(), put) {
+		t.Errorf("no Put of task 12 to host 77 in %x", out.Bytes())
+	}
+}
+
+// The actions of an instance must not depend on which others share its process.
+func TestInstancesShareNothing(t *testing.T) {
+	reply := func(placers ...uint32) []byte {
+		var out bytes.Buffer
+		var first, second [][]byte
+		for _, p := range placers {
+			first = append(first, start(p)...)
+			second = append(second, ask(p, 12))
+		}
+		if err := run(bytes.NewReader(append(batch(1000, first...), batch(1002, second...)...)), &out); err != nil {
+			t.Fatal(err)
+		}
+		return out.Bytes()
+	}
+	alone, together := reply(3), reply(3, 4)
+	// Each reply is a frame; the first instance's actions lead it.
+	for range 2 {
+		n, m := binary.LittleEndian.Uint32(alone), binary.LittleEndian.Uint32(together)
+		if !bytes.HasPrefix(together[4:4+m], alone[4:4+n]) {
+			t.Fatalf("alone %x, together %x", alone[4:4+n], together[4:4+m])
+		}
+		alone, together = alone[4+n:], together[4+m:]
+	}
+}
+
+func TestBadInputIsAPlainError(t *testing.T) {
+	for name, c := range map[string]struct {
+		input []byte
+		want  string
+	}{
+		"cut frame":       {batch(1, boot(3, info))[:40], "input ends"},
+		"unknown code":    {batch(1, record(99, uint32(3))), "unknown event code"},
+		"not started":     {batch(1, ask(3, 1)), "has not been started"},
+		"bad settings":    {batch(1, boot(3, "{")), "settings"},
+		"unusable":        {batch(1, boot(3, strings.Replace(info, `"kindCores": [8]`, `"kindCores": []`, 1))), "kinds"},
+		"unknown word":    {batch(1, boot(3, strings.Replace(info, `"dedup"`, `"maybe"`, 1))), "effect"},
+		"unknown list":    {batch(1, boot(3, info), record(13, uint32(3), uint8(0), uint32(1), uint8(9))), "list number 9"},
+		"list number":     {batch(1, record(10, uint8(16), uint32(0))), "list number 16"},
+		"unknown outcome": {batch(1, boot(3, info), record(5, uint32(3), uint32(1), uint8(11), 0.0, uint8(0))), "outcome code 11"},
+	} {
+		err := run(bytes.NewReader(c.input), &bytes.Buffer{})
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one line with %q", name, err, c.want)
+		}
+	}
+	if err := run(bytes.NewReader(nil), &bytes.Buffer{}); err != nil {
+		t.Errorf("end of input: %v", err)
+	}
+}
+
+func TestTeardownEndsALife(t *testing.T) {
+	input := append(batch(1000, start(3)...), batch(1001, record(8, uint32(3)))...)
+	input = append(input, batch(1002, ask(3, 1))...)
+	if err := run(bytes.NewReader(input), &bytes.Buffer{}); err == nil || !strings.Contains(err.Error(), "not been started") {
+		t.Errorf("after its teardown: %v", err)
+	}
+}
--- /dev/null
+++ b/list_test.go
@@ -0,0 +1,85 @@
+package forkhead
+
+import (
+	"testing"
+	"time"
+)
+
+// A machine found dead, delisted and listed again was once shut out for good.
+func TestMachineThatComesBackIsUsed(t *testing.T) {
+	machines := fleet(1)
+	b := newBench(t, testSettings(), machines)
+	id, actions := b.arrive(0, 7)
+	first := b.offered(actions)
+	actions = b.step(Outcome{Task: id, Attempt: 0, Machine: first.Machine, Result: ConnectFailed})
+	gone := machines[0]
+	gone.State = Gone
+	b.step(Update{Mode: ListDelta, Machines: []Machine{gone}})
+	b.now += time.Minute
+	for _, s := range only[SetTimer](actions) {
+		b.step(TimerFired{Timer: s.Timer})
+	}
+	back := machines[0]
+	back.Started = b.now - time.Second
+	b.step(Update{Mode: ListDelta, Machines: []Machine{back}})
+	_, actions = b.arrive(0, 8)
+	b.offered(actions)
+}
+
+func TestSubscriptionIsRenewedAfterFailures(t *testing.T) {
+	set := testSettings()
+	set.ListPushed = false
+	p, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	actions := p.Step(now, []Event{Update{Mode: ListSaved}})
+	if len(only[Subscribe](actions)) != 1 {
+		t.Fatalf("want a subscription at the start, got %v", describe(actions))
+	}
+	for round := range 12 {
+		actions = p.Step(now, []Event{Update{Mode: ListFailed}})
+		timers := only[SetTimer](actions)
+		if len(timers) != 1 || timers[0].At <= now || timers[0].At > now+set.MustAskWithin {
+			t.Fatalf("round %d: want one timer within %v, got %v", round, set.MustAskWithin, describe(actions))
+		}
+		now = timers[0].At
+		actions = p.Step(now, []Event{TimerFired{Timer: timers[0].Timer}})
+		if len(only[Subscribe](actions)) != 1 {
+			t.Fatalf("round %d: not asked again", round)
+		}
+	}
+}
+
+func TestPushedListIsNotAsked(t *testing.T) {
+	b := newBench(t, testSettings(), fleet(3))
+	if got := b.step(); len(only[Subscribe](got)) > 0 {
+		t.Fatalf("asked a list that is pushed: %v", describe(got))
+	}
+}
+
+func TestSuspectMachineIsProbedAndUsedOnceItAnswers(t *testing.T) {
+	b := newBench(t, testSettings(), fleet(1))
+	id, actions := b.arrive(0, 7)
+	first := b.offered(actions)
+	actions = b.step(Outcome{Task: id, Attempt: 0, Machine: first.Machine, Result: ConnectFailed})
+	if len(only[Offer](actions)) > 0 {
+		t.Fatal("offered again to a machine that could not be reached")
+	}
+	var probes []Probe
+	for _, s := range only[SetTimer](actions) {
+		if s.At > b.now+4*time.Second {
+			continue
+		}
+		b.now = max(b.now, s.At)
+		probes = append(probes, only[Probe](b.step(TimerFired{Timer: s.Timer}))...)
+	}
+	if len(probes) != 1 {
+		t.Fatalf("want one probe, got %d", len(probes))
+	}
+	actions = b.step(Probed{Machine: first.Machine, Result: OK})
+	b.now += retryEvery
+	actions = append(actions, b.step(Update{Mode: ListDelta})...)
+	b.offered(actions)
+}
--- a/placer.go
+++ b/placer.go
@@ -805,7 +805,8 @@
 	if ev.Result == Full {
 		p.refused(a, ev.Reason)
 	}
-	if never := ev.Result == Full || ev.Result == ConnectFailed || ev.Result == Moot; !never && t.mayRun == nil {
+	never := ev.Result == Full || ev.Result == ConnectFailed || ev.Result == Moot
+	if !never && t.mayRun == nil {
 		t.mayRun = a
 	}
 	p.changed = true
--- /dev/null
+++ b/rules_test.go
@@ -0,0 +1,229 @@
+package forkhead
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// neverRan are the results that prove an unbound attempt did not run.
+var neverRan = map[Result]bool{Full: true, ConnectFailed: true, Moot: true}
+
+var allResults = []Result{OK, Errored, Full, TimedOut, ConnectFailed, Reset, Withdrawn, Moot}
+
+func TestFurtherAttemptsByEffectAndResult(t *testing.T) {
+	cases := []struct {
+		name   string
+		effect Effect
+		group  Place
+	}{
+		{"safe", Safe, Anywhere}, {"keyed all", Keyed, Anywhere}, {"keyed zone", Keyed, InZone},
+		{"keyed cell", Keyed, InCell}, {"unsafe", Unsafe, Anywhere},
+	}
+	for _, c := range cases {
+		for _, result := range allResults {
+			t.Run(fmt.Sprintf("%s after result %d", c.name, result), func(t *testing.T) {
+				set := testSettings()
+				set.Classes[0].Effect, set.Classes[0].Group = c.effect, c.group
+				machines := fleet(12)
+				b := newBench(t, set, machines)
+				id, actions := b.arrive(0, 7)
+				first := b.offered(actions)
+				b.now += 20 * time.Millisecond
+				actions = b.step(Outcome{Task: id, Attempt: 0, Machine: first.Machine, Result: result})
+				offers, refusals := only[Offer](actions), only[Refuse](actions)
+				if neverRan[result] {
+					if len(only[Fail](actions)) > 0 {
+						t.Fatalf("failed although nothing ran: %v", describe(actions))
+					}
+					return
+				}
+				if c.effect == Unsafe && (len(offers) > 0 || len(refusals) > 0 || len(only[Fail](actions)) != 1) {
+					t.Fatalf("unsafe and possibly run: want one failure, got %v", describe(actions))
+				}
+				if c.effect == Keyed && c.group != Anywhere {
+					if len(refusals) > 0 {
+						t.Fatalf("refused a keyed task that may have run: %v", describe(actions))
+					}
+					for _, o := range offers {
+						if !same(c.group, &machine{Machine: machines[o.Machine-1]}, &machine{Machine: machines[first.Machine-1]}) {
+							t.Fatalf("sent from machine %d to %d, outside its group", first.Machine, o.Machine)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+func TestKeyedTaskIsNotSentAfterItsWindow(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Effect, set.Classes[0].Group, set.Classes[0].Window = Keyed, InCell, time.Second
+	b := newBench(t, set, fleet(12))
+	id, actions := b.arrive(0, 7)
+	first := b.offered(actions)
+	b.now += 2 * time.Second
+	actions = b.step(Outcome{Task: id, Attempt: 0, Machine: first.Machine, Result: TimedOut})
+	if len(only[Offer](actions)) > 0 || len(only[Refuse](actions)) > 0 || len(only[Fail](actions)) != 1 {
+		t.Fatalf("want one failure, got %v", describe(actions))
+	}
+}
+
+func TestEveryTaskHasOneAnswerAtItsDeadline(t *testing.T) {
+	for _, c := range []struct {
+		effect Effect
+		refuse bool
+	}{{Safe, true}, {Unsafe, false}} {
+		set := testSettings()
+		set.Classes[0].Effect = c.effect
+		b := newBench(t, set, fleet(3))
+		id, actions := b.arrive(0, 7)
+		b.offered(actions)
+		var due []SetTimer
+		for _, s := range only[SetTimer](actions) {
+			if s.At > b.now+4*time.Second && s.At <= b.now+5*time.Second {
+				due = append(due, s)
+			}
+		}
+		if len(due) != 1 {
+			t.Fatalf("want one timer just before the deadline, got %v", describe(actions))
+		}
+		b.now = due[0].At
+		actions = b.step(TimerFired{Timer: due[0].Timer})
+		refusals, failures := len(only[Refuse](actions)), len(only[Fail](actions))
+		if refusals+failures != 1 || (refusals == 1) != c.refuse {
+			t.Errorf("effect %d with an attempt out: %d refusals, %d failures", c.effect, refusals, failures)
+		}
+		b.now += time.Millisecond
+		late := b.step(Outcome{Task: id, Attempt: 0, Result: TimedOut}, OwnerLeft{Task: id})
+		if len(only[Offer](late))+len(only[Refuse](late))+len(only[Fail](late)) > 0 {
+			t.Errorf("something was sent after the answer: %v", describe(late))
+		}
+	}
+}
+
+func TestWaitingTaskIsRefusedAtItsDeadlineWithNoMachineAtAll(t *testing.T) {
+	b := newBench(t, testSettings(), nil)
+	_, actions := b.arrive(0, 7)
+	if len(only[Offer](actions)) > 0 {
+		t.Fatalf("offered with no machine: %v", describe(actions))
+	}
+	b.now += 5*time.Second - deadlineMargin
+	for _, s := range only[SetTimer](actions) {
+		if s.At == b.now {
+			if got := b.step(TimerFired{Timer: s.Timer}); len(only[Refuse](got)) != 1 {
+				t.Fatalf("want one refusal, got %v", describe(got))
+			}
+			return
+		}
+	}
+	t.Fatal("no timer at the deadline")
+}
+
+func TestNothingIsSentToDrainingGoneOrUnlistedMachines(t *testing.T) {
+	machines := fleet(4)
+	draining, gone := machines[0], machines[1]
+	draining.State, gone.State = Draining, Gone
+	for name, update := range map[string]Update{
+		"delta":          {Mode: ListDelta, Machines: []Machine{draining, gone}},
+		"full list":      {Mode: ListFull, Machines: []Machine{draining, machines[2], machines[3]}},
+		"drains at once": {Mode: ListDelta, Machines: []Machine{draining, gone}},
+	} {
+		b := newBench(t, testSettings(), machines)
+		b.step(update)
+		for service := range uint64(40) {
+			_, actions := b.arrive(0, service)
+			for _, o := range only[Offer](actions) {
+				if o.Machine == 1 || o.Machine == 2 {
+					t.Fatalf("%s: offer to machine %d", name, o.Machine)
+				}
+			}
+		}
+	}
+}
+
+func TestColdMachineGetsOurShareOfItsBudget(t *testing.T) {
+	set := testSettings()
+	set.Placers, set.ColdOffers = 4, 12
+	machines := fleet(1)
+	machines[0].Started = time.Hour - time.Second
+	machines[0].FreeCores, machines[0].FreeMemory = 1e6, 1e6
+	set.Kinds[0] = Kind{Cores: 1e6, Memory: 1e6}
+	b := newBench(t, set, machines)
+	var sent []time.Duration
+	for i := range 400 {
+		b.now += 10 * time.Millisecond
+		id, actions := b.arrive(0, uint64(i))
+		for _, o := range only[Offer](actions) {
+			sent = append(sent, b.now)
+			b.step(Outcome{Task: o.Task, Attempt: 0, Machine: o.Machine, Result: Full, Reason: NoCores})
+		}
+		b.step(OwnerLeft{Task: id})
+	}
+	for i := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at < sent[i]+set.ColdWindow {
+				n++
+			}
+		}
+		if n > 3 {
+			t.Fatalf("%d offers within a window, our share of 12 for 4 placers is 3", n)
+		}
+	}
+	if len(sent) == 0 {
+		t.Fatal("a cold machine was never used")
+	}
+}
+
+func TestSpreadCountsAttemptsAndHandedOverTasks(t *testing.T) {
+	for _, place := range []Place{OnMachine, InCell, InZone} {
+		set := testSettings()
+		set.Classes[0].Spread, set.Classes[0].Most = place, 2
+		machines := fleet(12)
+		b := newBench(t, set, machines)
+		held := map[int]int{}
+		count := func(m MachineID) int {
+			e := machines[m-1]
+			where := map[Place]int{OnMachine: int(e.ID), InCell: e.Cell, InZone: e.Zone}[place]
+			held[where]++
+			return held[where]
+		}
+		for _, m := range []MachineID{1, 1, 4} {
+			b.step(HandedOver{Task: b.task(0, 7), Machine: m})
+			count(m)
+		}
+		for range 40 {
+			_, actions := b.arrive(0, 7)
+			for _, o := range only[Offer](actions) {
+				if n := count(o.Machine); n > 2 {
+					t.Fatalf("place %d: an offer makes %d tasks of one service in one place", place, n)
+				}
+			}
+		}
+		total := 0
+		for _, n := range held {
+			total += n
+		}
+		if want := map[Place]int{OnMachine: 24, InCell: 8, InZone: 5}[place]; total != want {
+			t.Errorf("place %d: %d tasks placed, the spread leaves room for %d", place, total, want)
+		}
+	}
+}
+
+func TestOnlyOneAttemptIsOut(t *testing.T) {
+	b := newBench(t, testSettings(), fleet(6))
+	_, actions := b.arrive(0, 7)
+	b.offered(actions)
+	for range 200 {
+		b.now += 20 * time.Millisecond
+		var fired []Event
+		for _, s := range only[SetTimer](actions) {
+			fired = append(fired, TimerFired{Timer: s.Timer})
+		}
+		actions = b.step(fired...)
+		if n := len(only[Offer](actions)); n > 0 {
+			t.Fatalf("a second attempt while the first is out")
+		}
+	}
+}
