--- a/placer.go
+++ b/placer.go
@@ -7,6 +7,7 @@
 package forkhead
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -54,6 +55,8 @@
 	refusalHolds = 4 * time.Second
 	// A machine with a full line of offers gets nothing new for this long.
 	lineRest = 300 * time.Millisecond
+	// A start in time is worth about as much as the half of a task's run that is left on average.
+	timelyWorth = 1.5
 	// Waiting tasks are tried again this often, beside each time that something changes.
 	retryEvery = 50 * time.Millisecond
 	// A task is ended this long before its owner gives up: a tick or two.
@@ -86,7 +89,7 @@
 	p := &Placer{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		machines: map[MachineID]*machine{}, tasks: map[TaskID]*task{}, services: map[uint64][]*attempt{},
-		lag: lagFinder{best: firstLag},
+		held: map[int]float64{}, lag: lagFinder{best: firstLag},
 	}
 	for range set.Kinds {
 		p.pools = append(p.pools, &pool{})
@@ -340,7 +343,10 @@
 	if !in.Again {
 		p.pools[t.pool].sizes.add(in.Cores, p.now)
 	}
-	if !p.place(t) {
+	if len(p.waiting) > 0 {
+		p.wait(t)
+		p.changed = true
+	} else if !p.place(t) {
 		p.wait(t)
 	}
 }
@@ -380,6 +386,7 @@
 func (p *Placer) placeWaiting() {
 	line := p.waiting
 	p.waiting = nil
+	slices.SortStableFunc(line, func(a, b *task) int { return cmp.Compare(p.value(b), p.value(a)) })
 	cores, memory := p.mostFree()
 	for _, t := range line {
 		if !t.open || p.out1(t) {
@@ -391,6 +398,25 @@
 	}
 }
 
+// value ranks waiting tasks: by the worth of their class, less where their tenant is beyond its
+// share of what we place, more while a start is still in time. It guards tenants within their
+// share against those beyond it whenever room is short, whatever made it so. It may hurt where
+// this placer sees an uneven part of a tenant's traffic.
+func (p *Placer) value(t *task) float64 {
+	c := &p.set.Classes[t.Class]
+	v := c.Worth
+	if p.now < t.deadline-t.Wait+c.Aim {
+		v *= timelyWorth
+	}
+	if t.Tenant >= 0 && t.Tenant < len(p.set.Tenants) {
+		share := p.set.Tenants[t.Tenant].Cores / float64(p.set.Placers)
+		if share > 0 && p.held[t.Tenant]+t.Cores > share {
+			v *= p.set.OverShareWorth
+		}
+	}
+	return v
+}
+
 // mostFree is more room than any machine has, so that a long line of waiting tasks is cheap to try.
 func (p *Placer) mostFree() (cores, memory float64) {
 	for _, pl := range p.pools {
@@ -688,24 +714,6 @@
 	return slices.Contains(m.kept, program(service))
 }
 
-// keep takes the program to be on the machine from now on, until newer ones displace it.
-func (m *machine) keep(program uint32) {
-	m.kept = slices.DeleteFunc(m.kept, func(other uint32) bool { return other == program })
-	if m.kept = append(m.kept, program); len(m.kept) > keptPrograms {
-		m.kept = m.kept[1:]
-	}
-}
-
-// changedRoom notes a change for the others; the attempt's machine takes or frees its task's room.
-func (p *Placer) changedRoom(a *attempt, sign float64) {
-	if p.set.MayTell && p.set.Placers > 1 {
-		p.news = append(p.news, news{
-			program: program(a.task.Service), machine: a.machine.ID,
-			cores: sign * a.task.Cores, memory: sign * a.task.Memory,
-		})
-	}
-}
-
 // tell lets the others know what room our tasks took and left where, and with what program.
 func (p *Placer) tell() {
 	for _, data := range packNews(p.news) {
@@ -739,16 +747,6 @@
 
 // ---- Attempts.
 
-func (p *Placer) attempt(t *task, m *machine) *attempt {
-	a := &attempt{task: t, machine: m, number: len(t.attempts), sentAt: p.now}
-	t.attempts = append(t.attempts, a)
-	m.attempts = append(m.attempts, a)
-	m.starting++
-	m.ownCores, m.ownMemory, m.stale = m.ownCores+t.Cores, m.ownMemory+t.Memory, true
-	p.services[t.Service] = append(p.services[t.Service], a)
-	return a
-}
-
 func (p *Placer) offer(t *task, m *machine) {
 	p.changedRoom(p.attempt(t, m), 1)
 	if p.isCold(m) {
@@ -818,25 +816,6 @@
 	p.forget(t)
 }
 
-// close takes an attempt that is over off all the counts.
-func (p *Placer) close(a *attempt) {
-	p.runs(a)
-	a.over, a.endedAt = true, p.now
-	p.changedRoom(a, -1)
-	m, service := a.machine, a.task.Service
-	m.ownCores, m.ownMemory, m.stale = m.ownCores-a.task.Cores, m.ownMemory-a.task.Memory, true
-	left := slices.DeleteFunc(p.services[service], func(b *attempt) bool { return a == b })
-	if p.services[service] = left; len(left) == 0 {
-		delete(p.services, service)
-	}
-	if a.bound {
-		m.keep(program(service))
-	}
-	m.attempts = slices.DeleteFunc(m.attempts, func(b *attempt) bool {
-		return b.over && (!b.bound || b.endedAt < p.now-viewMemory)
-	})
-}
-
 // overdue looks after an attempt that has had no answer for a while.
 func (p *Placer) overdue(t *task) {
 	if !t.open || !p.out1(t) {
--- a/rules_test.go
+++ b/rules_test.go
@@ -227,3 +227,29 @@
 		}
 	}
 }
+
+// A tenant beyond its share once kept those within theirs waiting.
+func TestRoomGoesToTenantsWithinTheirShare(t *testing.T) {
+	set := testSettings()
+	set.Tenants, set.OverShareWorth = []Tenant{{Share: 0.5, Cores: 5}, {Share: 0.5, Cores: 5}}, 0.1
+	b := newBench(t, set, fleet(1))
+	var held []Offer
+	for service := range uint64(14) {
+		_, actions := b.arrive(0, service)
+		for _, o := range only[Offer](actions) {
+			b.step(Bound{Task: o.Task, Machine: o.Machine})
+			held = append(held, o)
+		}
+	}
+	if len(held) != 10 {
+		t.Fatalf("%d tasks on a machine for ten", len(held))
+	}
+	task := b.task(0, 99)
+	task.Tenant = 1
+	b.step(Arrival{Task: task})
+	b.now += 100 * time.Millisecond
+	actions := b.step(Outcome{Task: held[0].Task, Machine: held[0].Machine, Result: OK, Final: true})
+	if got := b.offered(actions).Task; got != task.ID {
+		t.Errorf("the room went to task %d, not to %d of the tenant within its share", got, task.ID)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -15,7 +16,8 @@
 	pools    []*pool // by kind
 	tasks    map[TaskID]*task
 	services map[uint64][]*attempt // live attempts of each service
-	waiting  []*task               // no machine yet, in order of arrival
+	held     map[int]float64       // cores asked for by our live attempts of each tenant
+	waiting  []*task               // no machine yet
 	retry    bool                  // a retry timer is out
 	changed  bool                  // room may have come up
 	cores    usage
@@ -187,3 +189,53 @@
 func (p *Placer) setTimer(purpose int, id uint32, after time.Duration) {
 	p.do(SetTimer{Timer: uint64(purpose)<<32 | uint64(id), At: p.now + after})
 }
+
+// attempt puts a new attempt on all the counts.
+func (p *Placer) attempt(t *task, m *machine) *attempt {
+	a := &attempt{task: t, machine: m, number: len(t.attempts), sentAt: p.now}
+	t.attempts = append(t.attempts, a)
+	m.attempts = append(m.attempts, a)
+	m.starting++
+	m.ownCores, m.ownMemory, m.stale = m.ownCores+t.Cores, m.ownMemory+t.Memory, true
+	p.services[t.Service] = append(p.services[t.Service], a)
+	p.held[t.Tenant] += t.Cores
+	return a
+}
+
+// close takes an attempt that is over off all the counts.
+func (p *Placer) close(a *attempt) {
+	p.runs(a)
+	a.over, a.endedAt = true, p.now
+	p.held[a.task.Tenant] -= a.task.Cores
+	p.changedRoom(a, -1)
+	m, service := a.machine, a.task.Service
+	m.ownCores, m.ownMemory, m.stale = m.ownCores-a.task.Cores, m.ownMemory-a.task.Memory, true
+	left := slices.DeleteFunc(p.services[service], func(b *attempt) bool { return a == b })
+	if p.services[service] = left; len(left) == 0 {
+		delete(p.services, service)
+	}
+	if a.bound {
+		m.keep(program(service))
+	}
+	m.attempts = slices.DeleteFunc(m.attempts, func(b *attempt) bool {
+		return b.over && (!b.bound || b.endedAt < p.now-viewMemory)
+	})
+}
+
+// keep takes the program to be on the machine from now on, until newer ones displace it.
+func (m *machine) keep(program uint32) {
+	m.kept = slices.DeleteFunc(m.kept, func(other uint32) bool { return other == program })
+	if m.kept = append(m.kept, program); len(m.kept) > keptPrograms {
+		m.kept = m.kept[1:]
+	}
+}
+
+// changedRoom notes a change for the others; the attempt's machine takes or frees its task's room.
+func (p *Placer) changedRoom(a *attempt, sign float64) {
+	if p.set.MayTell && p.set.Placers > 1 {
+		p.news = append(p.news, news{
+			program: program(a.task.Service), machine: a.machine.ID,
+			cores: sign * a.task.Cores, memory: sign * a.task.Memory,
+		})
+	}
+}
