--- a/placer.go
+++ b/placer.go
@@ -392,7 +392,8 @@
 		if !t.open || p.out1(t) {
 			continue
 		}
-		if t.Cores > cores || t.Memory > memory || !p.place(t) {
+		mayPush := p.set.Preempts && p.set.Classes[t.Class].Priority > 0
+		if !mayPush && (t.Cores > cores || t.Memory > memory) || !p.place(t) {
 			p.wait(t)
 		}
 	}
@@ -482,6 +483,7 @@
 type need struct {
 	warm bool // it holds the service's program
 	line int  // fewer than so many of our starts are pending there
+	push bool // room counts what tasks of lower priority hold, which the machine pushes out
 	full bool // room as far as it accepts, not only as far as it serves well
 }
 
@@ -493,11 +495,15 @@
 	{line: 1},
 	{line: startLine},
 	{line: 2 * startLine, full: true},
+	{line: 2 * startLine, full: true, push: true},
 }
 
 // choose looks in the task's own group first and then in ever farther ones.
 func (p *Placer) choose(t *task) *machine {
 	for _, want := range needs {
+		if want.push && (!p.set.Preempts || p.set.Classes[t.Class].Priority == 0) {
+			continue
+		}
 		if m := p.chooseIn(t, t.pool, want); m != nil {
 			return m
 		}
@@ -684,6 +690,13 @@
 	}
 	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
 	cores, memory := p.free(m)
+	if want.push {
+		for _, a := range m.attempts {
+			if !a.over && p.set.Classes[a.task.Class].Priority < c.Priority {
+				cores, memory = cores+a.task.Cores, memory+a.task.Memory
+			}
+		}
+	}
 	return t.Cores <= cores+kind.Cores*(topCores-1) && t.Memory <= memory+kind.Memory*(topMemory-1)
 }
 
