--- a/placer.go
+++ b/placer.go
@@ -691,6 +691,10 @@
 	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
 	cores, memory := p.free(m)
 	if want.push {
+		topCores, topMemory = p.set.AcceptCores, p.set.AcceptMemory
+		if t.Cores <= cores+kind.Cores*(topCores-1) && t.Memory <= memory+kind.Memory*(topMemory-1) {
+			return false // it would accept, push out nothing and be crowded
+		}
 		for _, a := range m.attempts {
 			if !a.over && p.set.Classes[a.task.Class].Priority < c.Priority {
 				cores, memory = cores+a.task.Cores, memory+a.task.Memory
