--- a/placer.go
+++ b/placer.go
@@ -811,6 +811,11 @@
 		return
 	}
 	p.close(a)
+	if a.bound {
+		// An offer that was turned away stays told: that keeps the others off a full machine
+		// until the view is newer.
+		p.changedRoom(a, -1)
+	}
 	p.report(a.machine, ev.Report)
 	p.health(a.machine, ev.Result)
 	t := a.task
--- a/state.go
+++ b/state.go
@@ -207,7 +207,6 @@
 	p.runs(a)
 	a.over, a.endedAt = true, p.now
 	p.held[a.task.Tenant] -= a.task.Cores
-	p.changedRoom(a, -1)
 	m, service := a.machine, a.task.Service
 	m.ownCores, m.ownMemory, m.stale = m.ownCores-a.task.Cores, m.ownMemory-a.task.Memory, true
 	left := slices.DeleteFunc(p.services[service], func(b *attempt) bool { return a == b })
