--- a/placer.go
+++ b/placer.go
@@ -91,6 +91,10 @@
 		machines: map[MachineID]*machine{}, tasks: map[TaskID]*task{}, services: map[uint64][]*attempt{},
 		held: map[int]float64{}, lag: lagFinder{best: firstLag},
 	}
+	p.calm = set.Classes[0].Calm
+	for _, c := range set.Classes {
+		p.calm = min(p.calm, c.Calm) // a machine holds them all
+	}
 	for range set.Kinds {
 		p.pools = append(p.pools, &pool{})
 	}
@@ -686,7 +690,7 @@
 		if p.isCold(m) && m.starting > 0 {
 			return false
 		}
-		topCores = min(topCores, c.Calm/p.cores.ratio()) * m.easy(p.now)
+		topCores = min(topCores, p.calm/p.cores.ratio()) * m.easy(p.now)
 	}
 	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
 	cores, memory := p.free(m)
--- a/state.go
+++ b/state.go
@@ -20,6 +20,7 @@
 	waiting  []*task               // no machine yet
 	retry    bool                  // a retry timer is out
 	changed  bool                  // room may have come up
+	calm     float64               // cores busy up to this share serve every class in full
 	cores    usage
 	memory   usage
 	list     listState
