--- a/placer.go
+++ b/placer.go
@@ -57,8 +57,6 @@
 	lineRest = 300 * time.Millisecond
 	// A start in time is worth about as much as the half of a task's run that is left on average.
 	timelyWorth = 1.5
-	// A task of so many times the mean size is large: one machine is kept for it while it waits.
-	largeTask = 4
 	// Waiting tasks are tried again this often, beside each time that something changes.
 	retryEvery = 50 * time.Millisecond
 	// A task is ended this long before its owner gives up: a tick or two.
@@ -424,6 +422,19 @@
 	return v
 }
 
+// mostFree is more room than any machine has, so that a long line of waiting tasks is cheap to try.
+func (p *Placer) mostFree() (cores, memory float64) {
+	for _, pl := range p.pools {
+		for _, m := range pl.order {
+			c, mem := p.free(m)
+			kind := p.set.Kinds[m.Kind]
+			cores = max(cores, c+kind.Cores*(p.set.AcceptCores-1))
+			memory = max(memory, mem+kind.Memory*(p.set.AcceptMemory-1))
+		}
+	}
+	return cores, memory
+}
+
 // end gives the task its final answer: a refusal where that is harmless, else a failure.
 func (p *Placer) end(t *task) {
 	if !t.open {
@@ -457,41 +468,12 @@
 	}
 	m := p.choose(t)
 	if m == nil {
-		p.claimFor(t)
 		return false
 	}
 	p.offer(t, m)
 	return true
 }
 
-// claims says whether the machine is kept for another, larger task.
-func (p *Placer) claims(t *task, m *machine) bool {
-	c := p.claim
-	return c.machine == m && c.task != t && c.task.Cores > t.Cores && c.task.open && !p.out1(c.task)
-}
-
-// claimFor keeps the machine with most room for a large task that waits, one at a time. Small
-// tasks would take each gap as it opens, for as long as room is short, whatever made it so.
-// It costs the small ones that machine until the large one is placed or over.
-func (p *Placer) claimFor(t *task) {
-	if t.Cores < largeTask*p.set.MeanCores ||
-		p.claim.task != nil && p.claim.task.open && p.claim.task != t && !p.out1(p.claim.task) {
-		return
-	}
-	p.claim = claim{task: t}
-	most := 0.0
-	for k, pl := range p.pools {
-		if kind := p.set.Classes[t.Class].Kind; kind >= 0 && kind != k {
-			continue
-		}
-		for _, m := range pl.order {
-			if cores, _ := p.free(m); p.allowed(t, m) && (p.claim.machine == nil || cores > most) {
-				p.claim.machine, most = m, cores
-			}
-		}
-	}
-}
-
 // maySend says whether any further attempt is legal.
 func (p *Placer) maySend(t *task) bool {
 	c := &p.set.Classes[t.Class]
@@ -698,7 +680,7 @@
 // fits says whether the machine has room: as much as it accepts where full is wanted,
 // else as much as leaves its tasks well served.
 func (p *Placer) fits(t *task, m *machine, want need) bool {
-	if p.now < m.restUntil || p.claims(t, m) || m.starting >= want.line || want.warm && !p.holds(m, t.Service) {
+	if p.now < m.restUntil || m.starting >= want.line || want.warm && !p.holds(m, t.Service) {
 		return false
 	}
 	kind := p.set.Kinds[m.Kind]
@@ -753,6 +735,14 @@
 	return slices.Contains(m.kept, program(service))
 }
 
+// tell lets the others know what room our tasks took and left where, and with what program.
+func (p *Placer) tell() {
+	for _, data := range packNews(p.news) {
+		p.do(Tell{To: Everyone, Data: data})
+	}
+	p.news = nil
+}
+
 // told takes such a message: until the view knows, it counts like our own changes. It guards
 // against placers that all see the same room and fill it at once. A lost message costs a
 // refusal, or hides some room until the view is newer.
--- a/state.go
+++ b/state.go
@@ -16,12 +16,11 @@
 	pools    []*pool // by kind
 	tasks    map[TaskID]*task
 	services map[uint64][]*attempt // live attempts of each service
-	claim    claim
-	held     map[int]float64 // cores asked for by our live attempts of each tenant
-	waiting  []*task         // no machine yet
-	retry    bool            // a retry timer is out
-	changed  bool            // room may have come up
-	calm     float64         // cores busy up to this share serve every class in full
+	held     map[int]float64       // cores asked for by our live attempts of each tenant
+	waiting  []*task               // no machine yet
+	retry    bool                  // a retry timer is out
+	changed  bool                  // room may have come up
+	calm     float64               // cores busy up to this share serve every class in full
 	cores    usage
 	memory   usage
 	list     listState
@@ -50,12 +49,6 @@
 	failures         int
 }
 
-// claim keeps a machine for a large task that waits.
-type claim struct {
-	task    *task
-	machine *machine
-}
-
 type machine struct {
 	Machine
 	viewAt       time.Duration
@@ -246,24 +239,3 @@
 		})
 	}
 }
-
-// mostFree is more room than any machine has, so that a long line of waiting tasks is cheap to try.
-func (p *Placer) mostFree() (cores, memory float64) {
-	for _, pl := range p.pools {
-		for _, m := range pl.order {
-			c, mem := p.free(m)
-			kind := p.set.Kinds[m.Kind]
-			cores = max(cores, c+kind.Cores*(p.set.AcceptCores-1))
-			memory = max(memory, mem+kind.Memory*(p.set.AcceptMemory-1))
-		}
-	}
-	return cores, memory
-}
-
-// tell lets the others know what room our tasks took and left where, and with what program.
-func (p *Placer) tell() {
-	for _, data := range packNews(p.news) {
-		p.do(Tell{To: Everyone, Data: data})
-	}
-	p.news = nil
-}
