--- a/placer.go
+++ b/placer.go
@@ -496,6 +496,7 @@
 // so a machine with the program comes first, wherever it is, then one with an empty line.
 var needs = []need{
 	{warm: true, line: 2 * startLine},
+	{line: 1},
 	{line: startLine},
 	{line: 2 * startLine, full: true},
 	{line: 2 * startLine, full: true, push: true},
