--- a/placer.go
+++ b/placer.go
@@ -48,6 +48,10 @@
 	easeStep   = 0.06
 	easeLeast  = 0.6
 	easeBack   = 90 * time.Second
+	// A task that gets less than this is moved where one of the first needs finds another machine.
+	moveBelow = 0.5
+	moveNeeds = 2
+	moveRest  = 2 * time.Second
 	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
@@ -422,19 +426,6 @@
 	return v
 }
 
-// mostFree is more room than any machine has, so that a long line of waiting tasks is cheap to try.
-func (p *Placer) mostFree() (cores, memory float64) {
-	for _, pl := range p.pools {
-		for _, m := range pl.order {
-			c, mem := p.free(m)
-			kind := p.set.Kinds[m.Kind]
-			cores = max(cores, c+kind.Cores*(p.set.AcceptCores-1))
-			memory = max(memory, mem+kind.Memory*(p.set.AcceptMemory-1))
-		}
-	}
-	return cores, memory
-}
-
 // end gives the task its final answer: a refusal where that is harmless, else a failure.
 func (p *Placer) end(t *task) {
 	if !t.open {
@@ -503,7 +494,9 @@
 }
 
 // choose looks in the task's own group first and then in ever farther ones.
-func (p *Placer) choose(t *task) *machine {
+func (p *Placer) choose(t *task) *machine { return p.chooseBy(needs, t) }
+
+func (p *Placer) chooseBy(needs []need, t *task) *machine {
 	for _, want := range needs {
 		if want.push && (!p.set.Preempts || p.set.Classes[t.Class].Priority == 0) {
 			continue
@@ -735,14 +728,6 @@
 	return slices.Contains(m.kept, program(service))
 }
 
-// tell lets the others know what room our tasks took and left where, and with what program.
-func (p *Placer) tell() {
-	for _, data := range packNews(p.news) {
-		p.do(Tell{To: Everyone, Data: data})
-	}
-	p.news = nil
-}
-
 // told takes such a message: until the view knows, it counts like our own changes. It guards
 // against placers that all see the same room and fill it at once. A lost message costs a
 // refusal, or hides some room until the view is newer.
@@ -801,6 +786,7 @@
 	case NoteServed:
 		if m := a.machine; ev.Amount < wellServed {
 			m.ease, m.easedAt = max(m.easy(p.now)-easeStep, easeLeast), p.now
+			p.moveAway(a, ev.Amount)
 		}
 	case NoteCores:
 		p.cores.learn(ev.Amount, a.task.Cores)
@@ -809,6 +795,19 @@
 	}
 }
 
+// moveAway stops a task that gets little where another machine would serve it well: one a note,
+// and notes come about once a second. It guards against tasks stuck on a machine that is slow,
+// crowded or misjudged; it may hurt where service was about to come back.
+func (p *Placer) moveAway(a *attempt, served float64) {
+	if served >= moveBelow || a.task.open {
+		return
+	}
+	a.machine.restUntil = p.now + moveRest
+	if p.chooseBy(needs[:moveNeeds], a.task) != nil {
+		p.do(Stop{Task: a.task.ID})
+	}
+}
+
 func (p *Placer) outcome(ev Outcome) {
 	a := p.live(ev.Task, ev.Attempt)
 	if a == nil {
--- a/state.go
+++ b/state.go
@@ -239,3 +239,24 @@
 		})
 	}
 }
+
+// mostFree is more room than any machine has, so that a long line of waiting tasks is cheap to try.
+func (p *Placer) mostFree() (cores, memory float64) {
+	for _, pl := range p.pools {
+		for _, m := range pl.order {
+			c, mem := p.free(m)
+			kind := p.set.Kinds[m.Kind]
+			cores = max(cores, c+kind.Cores*(p.set.AcceptCores-1))
+			memory = max(memory, mem+kind.Memory*(p.set.AcceptMemory-1))
+		}
+	}
+	return cores, memory
+}
+
+// tell lets the others know what room our tasks took and left where, and with what program.
+func (p *Placer) tell() {
+	for _, data := range packNews(p.news) {
+		p.do(Tell{To: Everyone, Data: data})
+	}
+	p.news = nil
+}
