--- a/placer.go
+++ b/placer.go
@@ -49,7 +49,7 @@
 	easeLeast  = 0.6
 	easeBack   = 90 * time.Second
 	// A task that gets less than this is moved where one of the first needs finds another machine.
-	moveBelow = 0.5
+	moveBelow = 0.7
 	moveNeeds = 2
 	moveRest  = 2 * time.Second
 	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
