--- a/placer.go
+++ b/placer.go
@@ -26,9 +26,8 @@
 	// Before so many arrivals the histogram says less than the told mean.
 	enoughSizes = 30
 	// Two machines are drawn for a service, so that its program stays present on both.
-	handful = 2
-	// How late the view may be is learned among these; own binds within it are added to the view.
-	firstLag = 2
+	handful  = 2
+	firstLag = 2 // the place in lags to begin with: a second
 	// Ended attempts are remembered this long for a view that is later still.
 	viewMemory = 10 * time.Second
 	// A machine starts few tasks at a time; more than this of our own make each other late.
@@ -49,7 +48,7 @@
 	easeLeast  = 0.6
 	easeBack   = 90 * time.Second
 	// A task that gets less than this is moved where one of the first needs finds another machine.
-	moveBelow = 0.7
+	moveBelow = 0.5
 	moveNeeds = 2
 	moveRest  = 2 * time.Second
 	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
@@ -112,7 +111,7 @@
 		p.list.started = true
 		p.subscribe()
 	}
-	for _, ev := range events {
+	for _, ev := range knowledgeFirst(events) {
 		p.take(ev)
 	}
 	if p.changed {
@@ -376,6 +375,9 @@
 }
 
 func (p *Placer) handOver(ev HandedOver) {
+	if t := &ev.Task; t.Class < 0 || t.Class >= len(p.set.Classes) || !(t.Cores >= 0) || !(t.Memory >= 0) {
+		return
+	}
 	t := &task{Task: ev.Task}
 	p.tasks[t.ID] = t
 	a := p.attempt(t, p.machine(ev.Machine))
@@ -777,7 +779,7 @@
 
 func (p *Placer) note(ev Note) {
 	a := p.live(ev.Task, ev.Attempt)
-	if a == nil {
+	if a == nil || !(ev.Amount >= 0) || math.IsInf(ev.Amount, 0) {
 		return
 	}
 	switch ev.Kind {
@@ -899,9 +901,7 @@
 	}
 }
 
-func (p *Placer) wellSeen(m *machine) {
-	m.failures, m.suspectUntil = 0, 0
-}
+func (p *Placer) wellSeen(m *machine) { m.failures, m.suspectUntil = 0, 0 }
 
 // report takes a load report as a fresher view where the list shows no free amounts.
 func (p *Placer) report(m *machine, r *Report) {
--- a/state.go
+++ b/state.go
@@ -260,3 +260,18 @@
 	}
 	p.news = nil
 }
+
+// knowledgeFirst puts lists and handed-over tasks before the other events of a moment, each in
+// their order: no offer then goes by older knowledge than the moment has.
+func knowledgeFirst(events []Event) []Event {
+	first, rest := make([]Event, 0, len(events)), []Event(nil)
+	for _, ev := range events {
+		switch ev.(type) {
+		case Update, HandedOver:
+			first = append(first, ev)
+		default:
+			rest = append(rest, ev)
+		}
+	}
+	return append(first, rest...)
+}
