--- a/placer.go
+++ b/placer.go
@@ -556,11 +556,7 @@
 	}
 	if len(warm) > 0 {
 		room = warm
-	}
-	if near := p.near(room); len(near) > 0 {
-		room = near
-	}
-	if len(warm) == 0 && len(room) > handful {
+	} else if len(room) > handful {
 		// Every placer draws the same machines for a service.
 		slices.SortFunc(room, func(a, b *machine) int {
 			ha, hb := mix(t.Service^mix(uint64(a.ID))), mix(t.Service^mix(uint64(b.ID)))
--- a/rules_test.go
+++ b/rules_test.go
@@ -253,3 +253,44 @@
 		t.Errorf("the room went to task %d, not to %d of the tenant within its share", got, task.ID)
 	}
 }
+
+func TestNothingFollowsABoundTask(t *testing.T) {
+	for _, effect := range []Effect{Safe, Keyed, Unsafe} {
+		for _, result := range allResults {
+			set := testSettings()
+			set.Classes[0].Effect = effect
+			b := newBench(t, set, fleet(6))
+			id, actions := b.arrive(0, 7)
+			on := b.offered(actions).Machine
+			b.step(Bound{Task: id, Machine: on})
+			b.now += 5 * time.Second
+			var got []Action
+			for _, s := range only[SetTimer](actions) {
+				got = append(got, b.step(TimerFired{Timer: s.Timer})...)
+			}
+			got = append(got, b.step(Outcome{Task: id, Machine: on, Result: result, Final: true}, OwnerLeft{Task: id})...)
+			if n := len(only[Offer](got)) + len(only[Refuse](got)) + len(only[Fail](got)); n > 0 {
+				t.Errorf("effect %d, result %d after the bind: %v", effect, result, describe(got))
+			}
+		}
+	}
+}
+
+// A restarted placer learns of its running tasks by their being handed over.
+func TestRestartedPlacerCountsWhatIsHandedBack(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Spread, set.Classes[0].Most = InZone, 1
+	b := newBench(t, set, fleet(6))
+	running := b.task(0, 7)
+	if got := b.step(HandedOver{Task: running, Machine: 2}); len(only[Offer](got)) > 0 {
+		t.Fatalf("a handed-over task was offered: %v", describe(got))
+	}
+	id, actions := b.arrive(0, 7)
+	if len(only[Offer](actions)) > 0 {
+		t.Fatal("the handed-over task was not counted")
+	}
+	actions = b.step(Outcome{Task: running.ID, Machine: 2, Result: OK, Final: true})
+	if got := b.offered(actions); got.Task != id {
+		t.Errorf("offered task %d, want the waiting %d", got.Task, id)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -275,14 +275,3 @@
 	}
 	return append(first, rest...)
 }
-
-// near returns those of the machines that are in this placer's zone, where zones are priced.
-func (p *Placer) near(room []*machine) []*machine {
-	var near []*machine
-	for _, m := range room {
-		if p.set.Prices.Zone > 0 && m.Zone == p.set.Zone {
-			near = append(near, m)
-		}
-	}
-	return near
-}
