--- a/list_test.go
+++ b/list_test.go
@@ -33,13 +33,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	now := time.Hour
+	now, logged := time.Hour, 0
 	actions := p.Step(now, []Event{Update{Mode: ListSaved}})
 	if len(only[Subscribe](actions)) != 1 {
 		t.Fatalf("want a subscription at the start, got %v", describe(actions))
 	}
 	for round := range 12 {
 		actions = p.Step(now, []Event{Update{Mode: ListFailed}})
+		logged += len(only[Log](actions))
 		timers := only[SetTimer](actions)
 		if len(timers) != 1 || timers[0].At <= now || timers[0].At > now+set.MustAskWithin {
 			t.Fatalf("round %d: want one timer within %v, got %v", round, set.MustAskWithin, describe(actions))
@@ -50,6 +51,9 @@
 			t.Fatalf("round %d: not asked again", round)
 		}
 	}
+	if logged != 1 {
+		t.Errorf("%d log lines for one run of failures, want 1", logged)
+	}
 }
 
 func TestPushedListIsNotAsked(t *testing.T) {
--- a/placer.go
+++ b/placer.go
@@ -65,8 +65,9 @@
 	// A task is ended this long before its owner gives up: a tick or two.
 	deadlineMargin = 5 * time.Millisecond
 	// The first pause before asking the list again, and the longest.
-	askFirst = 300 * time.Millisecond
-	askMost  = 3 * time.Second
+	listTrouble = 5 // failures in a row that are worth a page
+	askFirst    = 300 * time.Millisecond
+	askMost     = 3 * time.Second
 )
 
 // Timer purposes, in the upper half of a timer's number; the lower is a task's or machine's.
@@ -194,7 +195,9 @@
 	if u.Mode == ListFailed {
 		p.list.waiting = false
 		p.setTimer(timerList, 0, p.jitter(min(askFirst<<min(p.list.failures, 8), askMost)))
-		p.list.failures++
+		if p.list.failures++; p.list.failures == listTrouble {
+			p.do(Log{Text: "asking for the machine list keeps failing; going by the last one"})
+		}
 		return
 	}
 	if u.Mode != ListSaved {
