--- a/placer.go
+++ b/placer.go
@@ -753,7 +753,7 @@
 func (u *usage) ratio() float64 { return (u.used + guessedUse*20) / (u.asked + 20) }
 
 func (u *usage) learn(used, asked float64) {
-	u.used, u.asked = u.used*0.98+used, u.asked*0.98+asked
+	u.used, u.asked = u.used*0.998+used, u.asked*0.998+asked
 }
 
 // ---- Attempts.
