Keep one timer for the list and spread its calls over the placers

Now only the last timer counts, first calls go by turns and later ones by a jitter over 20 ms a placer. Also catches lists that break for all at one moment. May hurt: a lone failure among several hundred placers waits up to 5 s.

--- a/list_test.go
+++ b/list_test.go
@@ -1,6 +1,8 @@
 package forkhead
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 	"time"
 )
@@ -87,3 +89,47 @@
 	actions = append(actions, b.step(Update{Mode: ListDelta})...)
 	b.offered(actions)
 }
+
+// Each failed call once left one more timer behind than it took: calls doubled until the day ended.
+func TestListCallsOfManyPlacersStaySpreadAndFew(t *testing.T) {
+	set := testSettings()
+	set.ListPushed, set.Placers = false, 470
+	const busiest = 100 // calls a second of all placers together that a list service is taken to bear
+	perSecond := map[time.Duration]int{}
+	for self := range set.Placers {
+		set.Self = self
+		p, err := New(set, uint64(self))
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, end, timers, calls := time.Hour, time.Hour+30*time.Second, []SetTimer(nil), 0
+		events := []Event{Update{Mode: ListSaved}}
+		for now < end {
+			actions := p.Step(now, events)
+			timers = append(timers, only[SetTimer](actions)...)
+			events = nil
+			if len(only[Subscribe](actions)) > 0 {
+				calls++
+				perSecond[now.Truncate(time.Second)]++
+				now += 2 * time.Second
+				events = append(events, Update{Mode: ListFailed})
+				continue
+			}
+			slices.SortFunc(timers, func(a, b SetTimer) int { return cmp.Compare(a.At, b.At) })
+			if len(timers) == 0 {
+				t.Fatalf("placer %d stopped asking after %d calls", self, calls)
+			}
+			now = max(now, timers[0].At)
+			events = append(events, TimerFired{Timer: timers[0].Timer})
+			timers = timers[1:]
+		}
+		if calls < 2 || calls > 12 {
+			t.Fatalf("placer %d made %d calls in 30 s of failures", self, calls)
+		}
+	}
+	for second, n := range perSecond {
+		if n > busiest+busiest/2 {
+			t.Errorf("%d calls of %d placers in the second at %v", n, set.Placers, second)
+		}
+	}
+}
--- a/placer.go
+++ b/placer.go
@@ -64,10 +64,11 @@
 	retryEvery = 50 * time.Millisecond
 	// A task is ended this long before its owner gives up: a tick or two.
 	deadlineMargin = 5 * time.Millisecond
-	// The first pause before asking the list again, and the longest.
-	listTrouble = 5 // failures in a row that are worth a page
-	askFirst    = 300 * time.Millisecond
-	askMost     = 3 * time.Second
+	listTrouble    = 5 // failed calls for the list in a row that are worth a page
+	// The pause after a failed call, doubled each time, and what each placer adds to the spread of
+	// all calls: the list is one service, which takes a few dozen calls a second.
+	askFirst = 300 * time.Millisecond
+	askTurn  = 20 * time.Millisecond
 )
 
 // Timer purposes, in the upper half of a timer's number; the lower is a task's or machine's.
@@ -110,7 +111,7 @@
 	p.now, p.out = now, nil
 	if !p.list.started {
 		p.list.started = true
-		p.subscribe()
+		p.askIn(p.askSpread() * time.Duration(p.set.Self) / time.Duration(p.set.Placers))
 	}
 	for _, ev := range knowledgeFirst(events) {
 		p.take(ev)
@@ -123,67 +124,33 @@
 	return p.out
 }
 
-func (p *Placer) take(ev Event) {
-	switch ev := ev.(type) {
-	case Update:
-		p.update(ev)
-	case Arrival:
-		p.arrive(ev.Task)
-	case HandedOver:
-		p.handOver(ev)
-	case Bound:
-		p.bound(ev)
-	case Note:
-		p.note(ev)
-	case Outcome:
-		p.outcome(ev)
-	case OwnerLeft:
-		if t := p.tasks[ev.Task]; t != nil {
-			t.open = false
-			p.forget(t)
-		}
-	case TimerFired:
-		p.timer(int(ev.Timer>>32), uint32(ev.Timer))
-	case Probed:
-		p.probed(ev)
-	case Told:
-		p.told(ev.Data)
-	}
-}
-
-func (p *Placer) timer(purpose int, id uint32) {
-	switch purpose {
-	case timerDeadline:
-		if t := p.tasks[TaskID(id)]; t != nil {
-			p.end(t)
-		}
-	case timerPatience:
-		if t := p.tasks[TaskID(id)]; t != nil {
-			p.overdue(t)
-		}
-	case timerRetry:
-		p.retry, p.changed = false, true
-	case timerList:
-		if p.list.waiting || p.list.failures > 0 {
-			p.subscribe()
-		}
-	case timerSuspect:
-		if m := p.machines[MachineID(id)]; m != nil && m.failures > 0 {
-			p.probe(m)
-		}
-	}
-}
-
 // ---- The list of machines.
 
-// subscribe asks for the list's changes and sees to it that the call is renewed if it stays unanswered.
+// subscribe asks for the list's changes, again if the call stays unanswered.
 func (p *Placer) subscribe() {
+	p.do(Subscribe{})
+	p.askIn(p.jitter(p.set.MustAskWithin / 2))
+}
+
+// askIn sets the one timer for the next call; an earlier one no longer counts. It guards against
+// calls that multiply while the list fails, and with askSpread against placers that all call at
+// one moment: at a start, when the list comes back or breaks. A lone placer waits for nothing.
+func (p *Placer) askIn(pause time.Duration) {
 	if p.set.ListPushed {
 		return
 	}
-	p.do(Subscribe{})
 	p.list.waiting = true
-	p.setTimer(timerList, 0, p.jitter(p.set.MustAskWithin/2))
+	p.list.timer++
+	if pause <= 0 {
+		p.subscribe()
+	} else {
+		p.setTimer(timerList, p.list.timer, pause)
+	}
+}
+
+// askSpread is the time over which the calls of all placers are spread.
+func (p *Placer) askSpread() time.Duration {
+	return min(askTurn*time.Duration(p.set.Placers-1), p.set.MustAskWithin/2)
 }
 
 // jitter spreads placers that would all act at one moment.
@@ -193,8 +160,7 @@
 
 func (p *Placer) update(u Update) {
 	if u.Mode == ListFailed {
-		p.list.waiting = false
-		p.setTimer(timerList, 0, p.jitter(min(askFirst<<min(p.list.failures, 8), askMost)))
+		p.askIn(min(p.jitter(askFirst<<min(p.list.failures, 8)+p.askSpread()), p.set.MustAskWithin))
 		if p.list.failures++; p.list.failures == listTrouble {
 			p.do(Log{Text: "asking for the machine list keeps failing; going by the last one"})
 		}
--- a/state.go
+++ b/state.go
@@ -47,6 +47,7 @@
 type listState struct {
 	started, waiting bool
 	failures         int
+	timer            uint32 // the timer that counts
 }
 
 type machine struct {
@@ -102,6 +103,58 @@
 	cores, memory float64
 }
 
+// take hands an event to the decision it asks for.
+func (p *Placer) take(ev Event) {
+	switch ev := ev.(type) {
+	case Update:
+		p.update(ev)
+	case Arrival:
+		p.arrive(ev.Task)
+	case HandedOver:
+		p.handOver(ev)
+	case Bound:
+		p.bound(ev)
+	case Note:
+		p.note(ev)
+	case Outcome:
+		p.outcome(ev)
+	case OwnerLeft:
+		if t := p.tasks[ev.Task]; t != nil {
+			t.open = false
+			p.forget(t)
+		}
+	case TimerFired:
+		p.timer(int(ev.Timer>>32), uint32(ev.Timer))
+	case Probed:
+		p.probed(ev)
+	case Told:
+		p.told(ev.Data)
+	}
+}
+
+func (p *Placer) timer(purpose int, id uint32) {
+	switch purpose {
+	case timerDeadline:
+		if t := p.tasks[TaskID(id)]; t != nil {
+			p.end(t)
+		}
+	case timerPatience:
+		if t := p.tasks[TaskID(id)]; t != nil {
+			p.overdue(t)
+		}
+	case timerRetry:
+		p.retry, p.changed = false, true
+	case timerList:
+		if id == p.list.timer && p.list.waiting {
+			p.subscribe()
+		}
+	case timerSuspect:
+		if m := p.machines[MachineID(id)]; m != nil && m.failures > 0 {
+			p.probe(m)
+		}
+	}
+}
+
 // mix is a fixed hash, the same at every placer.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
