--- a/news.go
+++ b/news.go
@@ -11,6 +11,7 @@
 	newsSize  = 12
 	newsItems = 21
 	newsScale = 64
+	newsShare = newsSize / 256. // of a full message
 )
 
 // packNews writes news into as many messages as it takes.
--- a/placer.go
+++ b/placer.go
@@ -60,6 +60,9 @@
 	lineRest = 300 * time.Millisecond
 	// A start in time is worth about as much as the half of a task's run that is left on average.
 	timelyWorth = 1.5
+	// News of rooms is told while the start and end of a task together cost less than this share
+	// of the result: to a handful of placers. Among more, each one's news changes little.
+	newsPrice = 0.005
 	// Waiting tasks are tried again this often, beside each time that something changes.
 	retryEvery = 50 * time.Millisecond
 	// A task is ended this long before its owner gives up: a tick or two.
@@ -699,6 +702,22 @@
 	return slices.Contains(m.kept, program(service))
 }
 
+// tell lets the others know what room our tasks took and left where, and with what program, as
+// long as the price for all receivers is small beside what it can save.
+func (p *Placer) tell() {
+	for _, data := range packNews(p.news) {
+		p.do(Tell{To: Everyone, Data: data})
+	}
+	p.news = p.news[:0]
+}
+
+// tellsRoom says whether news of rooms is worth its price. It guards against a cost in messages and
+// in their reading that grows with the placers.
+func (p *Placer) tellsRoom() bool {
+	return p.set.MayTell && p.set.Placers > 1 &&
+		2*newsShare*p.set.Prices.Tell*float64(p.set.Placers-1) <= newsPrice
+}
+
 // told takes such a message: until the view knows, it counts like our own changes. It guards
 // against placers that all see the same room and fill it at once. A lost message costs a
 // refusal, or hides some room until the view is newer.
--- a/state.go
+++ b/state.go
@@ -285,7 +285,7 @@
 
 // changedRoom notes a change for the others; the attempt's machine takes or frees its task's room.
 func (p *Placer) changedRoom(a *attempt, sign float64) {
-	if p.set.MayTell && p.set.Placers > 1 {
+	if p.tellsRoom() {
 		p.news = append(p.news, news{
 			program: program(a.task.Service), machine: a.machine.ID,
 			cores: sign * a.task.Cores, memory: sign * a.task.Memory,
@@ -306,14 +306,6 @@
 	return cores, memory
 }
 
-// tell lets the others know what room our tasks took and left where, and with what program.
-func (p *Placer) tell() {
-	for _, data := range packNews(p.news) {
-		p.do(Tell{To: Everyone, Data: data})
-	}
-	p.news = nil
-}
-
 // knowledgeFirst puts lists and handed-over tasks before the other events of a moment, each in
 // their order: no offer then goes by older knowledge than the moment has.
 func knowledgeFirst(events []Event) []Event {
