Turns on cold machines where a share is below one offer

Cause: with 100 placers and more the share of what a cold machine always bears is below one, so nobody used a returned machine until it was warm. Now time is cut into slots and number, machine and time say whose turn it is; a slot's worth is left for placers that have not heard of the start; the first window of a life sends nothing. Also holds for mass restarts and deploys. May hurt where clocks differ by a slot.

--- a/placer.go
+++ b/placer.go
@@ -54,6 +54,8 @@
 	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
+	// Slots in a window over which offers to a cold machine count: with more, a slot holds no offer.
+	coldSlots = 3
 	// What a refusal tells of a machine's room holds until the view knows, or this long.
 	refusalHolds = 4 * time.Second
 	// A machine with a full line of offers gets nothing new for this long.
@@ -113,7 +115,7 @@
 func (p *Placer) Step(now time.Duration, events []Event) []Action {
 	p.now, p.out = now, nil
 	if !p.list.started {
-		p.list.started = true
+		p.list.started, p.born = true, now
 		p.askIn(p.askSpread() * time.Duration(p.set.Self) / time.Duration(p.set.Placers))
 	}
 	for _, ev := range knowledgeFirst(events) {
@@ -156,11 +158,6 @@
 	return min(askTurn*time.Duration(p.set.Placers-1), p.set.MustAskWithin/2)
 }
 
-// jitter spreads placers that would all act at one moment.
-func (p *Placer) jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (0.5 + p.rng.Float64()/2))
-}
-
 func (p *Placer) update(u Update) {
 	if u.Mode == ListFailed {
 		p.askIn(min(p.jitter(askFirst<<min(p.list.failures, 8)+p.askSpread()), p.set.MustAskWithin))
@@ -236,19 +233,6 @@
 
 // ---- Sizes, intervals and groups.
 
-// histogram holds the load of each size: the asked cores of the tasks that had it, decayed.
-type histogram struct {
-	load    [256]float64
-	total   float64
-	count   float64
-	decayed time.Duration
-}
-
-// bucket gives sizes 16 buckets a doubling, from 2^-6 up.
-func bucket(size float64) int {
-	return min(max(int(math.Round(16*math.Log2(size)))+96, 0), 255)
-}
-
 func (h *histogram) add(size float64, now time.Duration) {
 	if gap := now - h.decayed; gap > time.Second {
 		f := math.Exp2(-float64(gap) / float64(sizeHalfLife))
@@ -285,11 +269,6 @@
 	return min(n, max(minIntervals, (n+machinesPerGroup/2)/machinesPerGroup))
 }
 
-// group returns the machines of interval i of n: equal runs of the order.
-func (pl *pool) group(i, n int) []*machine {
-	return pl.order[i*len(pl.order)/n : (i+1)*len(pl.order)/n]
-}
-
 // poolOf picks the kind: the one its class needs, else by the service's hash in proportion to cores.
 func (p *Placer) poolOf(t *Task) int {
 	if k := p.set.Classes[t.Class].Kind; k >= 0 {
@@ -579,15 +558,45 @@
 
 func (p *Placer) isCold(m *machine) bool { return m.Started > 0 && p.now < m.Started+p.set.ColdFor }
 
-// coldBudget keeps the offers to a cold machine to our share of what it always bears.
+// coldBudget keeps the offers of all placers to a cold machine within what it always bears. Each
+// has its share where that is an offer or more, else its turns. What an earlier life of this placer
+// sent is not known, so the first window of a life sends nothing.
 func (p *Placer) coldBudget(m *machine) bool {
 	if !p.isCold(m) {
 		return true
 	}
+	if p.now < p.born+p.set.ColdWindow {
+		return false
+	}
+	share := p.set.ColdOffers / float64(p.set.Placers)
+	if share < 1 {
+		return p.coldTurn(m)
+	}
 	for len(m.cold) > 0 && m.cold[0] <= p.now-p.set.ColdWindow {
 		m.cold = m.cold[1:]
 	}
-	return float64(len(m.cold)+1) <= p.set.ColdOffers/float64(p.set.Placers)
+	return float64(len(m.cold)+1) <= share
+}
+
+// coldTurn cuts time into slots and gives a few placers one offer each in a slot, others in the
+// next: all can tell by number, machine and time, without a word. A window touches one slot more
+// than it holds, and one slot's offers are left for placers that have not heard of the start.
+// It may hurt where clocks differ by more than a slot.
+func (p *Placer) coldTurn(m *machine) bool {
+	slot, takers := p.set.ColdWindow/coldSlots, uint64(p.set.ColdOffers/(coldSlots+2))
+	if takers == 0 { // too few to cut up: every other window is a slot
+		slot, takers = 2*p.set.ColdWindow, uint64(p.set.ColdOffers)
+		if slot == 0 || p.now%slot >= p.set.ColdWindow {
+			return false
+		}
+	}
+	begun := p.now - p.now%slot
+	if begun < p.born || len(m.cold) > 0 && m.cold[len(m.cold)-1] >= begun {
+		return false
+	}
+	n := uint64(p.set.Placers)
+	turn := uint64(p.set.Self) + mix(uint64(m.ID))%n + uint64(p.now/slot)%n*takers
+	return turn%n < takers
 }
 
 // free is what the view shows as not asked for, with our own binds and ends since then and
@@ -746,7 +755,7 @@
 func (p *Placer) offer(t *task, m *machine) {
 	p.changedRoom(p.attempt(t, m), 1)
 	if p.isCold(m) {
-		m.cold = append(m.cold, p.now)
+		m.cold = append(m.cold, p.now) // coldBudget drops those that no longer count
 	}
 	p.do(Offer{Task: t.ID, Machine: m.ID})
 	p.setTimer(timerPatience, uint32(t.ID), patience)
--- a/state.go
+++ b/state.go
@@ -1,6 +1,7 @@
 package forkhead
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	set      Settings
 	rng      *rand.Rand
 	now      time.Duration
+	born     time.Duration // the first Step of this life
 	out      []Action
 	machines map[MachineID]*machine
 	pools    []*pool // by kind
@@ -40,6 +42,24 @@
 	sizes histogram
 }
 
+// histogram holds the load of each size: the asked cores of the tasks that had it, decayed.
+type histogram struct {
+	load    [256]float64
+	total   float64
+	count   float64
+	decayed time.Duration
+}
+
+// bucket gives sizes 16 buckets a doubling, from 2^-6 up.
+func bucket(size float64) int {
+	return min(max(int(math.Round(16*math.Log2(size)))+96, 0), 255)
+}
+
+// group returns the machines of interval i of n: equal runs of the order.
+func (pl *pool) group(i, n int) []*machine {
+	return pl.order[i*len(pl.order)/n : (i+1)*len(pl.order)/n]
+}
+
 // usage learns how much of what is asked is used.
 type usage struct{ used, asked float64 }
 
@@ -155,6 +175,11 @@
 	}
 }
 
+// jitter spreads placers that would all act at one moment.
+func (p *Placer) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + p.rng.Float64()/2))
+}
+
 // mix is a fixed hash, the same at every placer.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
