--- a/placer.go
+++ b/placer.go
@@ -56,8 +56,6 @@
 	suspectMost  = 4 * time.Second
 	// Slots in a window over which offers to a cold machine count: with more, a slot holds no offer.
 	coldSlots = 3
-	// Changes of the view over which the swing of free room is averaged.
-	swingViews = 200
 	// What a refusal tells of a machine's room holds until the view knows, or this long.
 	refusalHolds = 4 * time.Second
 	// A machine with a full line of offers gets nothing new for this long.
@@ -200,7 +198,6 @@
 	}
 	if m.viewAt > 0 && entry.Started == m.Started {
 		p.learnLag(m, entry.FreeCores-m.FreeCores)
-		p.learnSwing(m, entry.FreeCores-m.FreeCores)
 	}
 	m.Machine = entry
 	m.viewAt, m.stale = p.now, true
@@ -636,23 +633,6 @@
 	}
 }
 
-// learnSwing learns how much a machine's free cores change in a second, by the view.
-func (p *Placer) learnSwing(m *machine, change float64) {
-	if span := (p.now - m.viewAt).Seconds(); span > 0 {
-		p.swing += (min(change*change/span, 1e6) - p.swing) / swingViews
-	}
-}
-
-// margin is what the others may have taken on a machine since its view: as much as its free cores
-// change within the lag. It guards against placers that fill the same hole of a late view, and may
-// hurt where few placers act or tell each other what they do.
-func (p *Placer) margin() float64 {
-	if p.tellsRoom() || p.set.Placers == 1 {
-		return 0
-	}
-	return math.Sqrt(p.swing * lags[p.lag.best].Seconds())
-}
-
 // refused takes a refusal as a view of its own: less than what was asked is free.
 func (p *Placer) refused(a *attempt, why Reason) {
 	m := a.machine
@@ -690,10 +670,6 @@
 	}
 	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
 	cores, memory := p.free(m)
-	if !want.full {
-		margin := p.margin()
-		cores, memory = cores-margin, memory-margin*p.set.MeanMemory/p.set.MeanCores
-	}
 	if want.push {
 		topCores, topMemory = p.set.AcceptCores, p.set.AcceptMemory
 		if t.Cores <= cores+kind.Cores*(topCores-1) && t.Memory <= memory+kind.Memory*(topMemory-1) {
--- a/state.go
+++ b/state.go
@@ -27,8 +27,7 @@
 	memory   usage
 	list     listState
 	lag      lagFinder
-	swing    float64 // mean square of the change of a machine's free cores in a second
-	news     []news  // of this step, to tell the others
+	news     []news // of this step, to tell the others
 }
 
 // lagFinder learns which lag makes changes of the view match our own binds and ends best.
