Four intervals at most; sizes forgotten by count; a rest after two refusals

Cause of the first two: a placer that sees under a task a second never reached 30 samples within a minute's half-life, and thirty groups of three differ between placers whose thresholds differ a little. Now the told mean counts as load of 30 tasks, and groups are larger where the fleet is.

--- a/placer.go
+++ b/placer.go
@@ -19,12 +19,13 @@
 const (
 	// A group of three still leaves a choice when one machine is full and one drains.
 	machinesPerGroup = 3
-	// Two intervals at least, so that large tasks keep a group of their own.
-	minIntervals = 2
-	// The size mix drifts slowly; a minute holds enough arrivals and forgets an old mix.
-	sizeHalfLife = time.Minute
-	// Before so many arrivals the histogram says less than the told mean.
-	enoughSizes = 30
+	// Two intervals at least, so that large tasks keep a group of their own; few at most, so that
+	// placers whose thresholds differ a little still mean the same group.
+	minIntervals, maxIntervals = 2, 4
+	// Sizes are forgotten by the count of later ones, so that a placer that sees few tasks keeps them.
+	manySizes = 1000
+	// The told mean weighs as much as so many tasks of mean size.
+	toldSizes = 30
 	// Two machines are drawn for a service, so that its program stays present on both.
 	handful  = 2
 	firstLag = 2 // the place in lags to begin with: a second
@@ -56,6 +57,8 @@
 	suspectMost  = 4 * time.Second
 	// Slots in a window over which offers to a cold machine count: with more, a slot holds no offer.
 	coldSlots = 3
+	// A task turned away twice rests this long, doubled each time: so long a view takes to change.
+	refusedRest = 500 * time.Millisecond
 	// What a refusal tells of a machine's room holds until the view knows, or this long.
 	refusalHolds = 4 * time.Second
 	// A machine with a full line of offers gets nothing new for this long.
@@ -172,7 +175,7 @@
 	listed := map[MachineID]bool{}
 	for _, entry := range u.Machines {
 		listed[entry.ID] = true
-		p.list1(entry)
+		p.listEntry(entry)
 	}
 	if u.Mode != ListDelta {
 		for id, m := range p.machines {
@@ -185,8 +188,8 @@
 	p.changed = true
 }
 
-// list1 takes one entry of the list.
-func (p *Placer) list1(entry Machine) {
+// listEntry takes one entry of the list.
+func (p *Placer) listEntry(entry Machine) {
 	if entry.Kind < 0 || entry.Kind >= len(p.pools) {
 		return
 	}
@@ -233,40 +236,34 @@
 
 // ---- Sizes, intervals and groups.
 
-func (h *histogram) add(size float64, now time.Duration) {
-	if gap := now - h.decayed; gap > time.Second {
-		f := math.Exp2(-float64(gap) / float64(sizeHalfLife))
-		for i := range h.load {
-			h.load[i] *= f
-		}
-		h.total, h.count, h.decayed = h.total*f, h.count*f, now
+func (h *histogram) add(size float64) {
+	for i := range h.load {
+		h.load[i] *= 1 - 1./manySizes
 	}
 	h.load[bucket(size)] += size
-	h.total += size
-	h.count++
+	h.total = h.total*(1-1./manySizes) + size
 }
 
 // position is where a task stands in the cumulative load eta, from 0 to 1: interval i of n
 // is [i/n, (i+1)/n). The service's hash spreads a size over the load that this size has, so
-// a threshold inside it splits it in the shares asked. Without data the told mean splits.
+// a threshold inside it splits it in the shares asked. The told mean, which splits in half without
+// data, counts as some load seen: placers that each see few tasks then still agree.
 func (h *histogram) position(size, mean float64, service uint64) float64 {
+	told, b := toldSizes*max(mean, 1e-9), bucket(size)
 	u := share(mix(service ^ 0x51ce))
-	if h.count < enoughSizes || h.total <= 0 {
-		if size < mean {
-			return u / 2
-		}
-		return 0.5 + u/2
+	below := told*u/2 + u*h.load[b]
+	if size >= mean {
+		below += told / 2
 	}
-	b, below := bucket(size), 0.0
 	for _, load := range h.load[:b] {
 		below += load
 	}
-	return min(max((below+u*h.load[b])/h.total, 0), math.Nextafter(1, 0))
+	return min(below/(told+h.total), math.Nextafter(1, 0))
 }
 
 func (pl *pool) intervals() int {
 	n := len(pl.order)
-	return min(n, max(minIntervals, (n+machinesPerGroup/2)/machinesPerGroup))
+	return min(n, max(minIntervals, min(maxIntervals, (n+machinesPerGroup/2)/machinesPerGroup)))
 }
 
 // poolOf picks the kind: the one its class needs, else by the service's hash in proportion to cores.
@@ -292,14 +289,14 @@
 func (p *Placer) arrive(in Task) {
 	t := &task{Task: in, deadline: p.now + in.Wait, open: true}
 	p.tasks[in.ID] = t
-	if !p.usable(&in) {
+	if !p.known(&in) || !p.usable(&in) {
 		p.end(t)
 		return
 	}
 	p.setTimer(timerDeadline, uint32(in.ID), max(in.Wait-deadlineMargin, 0))
 	t.pool = p.poolOf(&in)
 	if !in.Again {
-		p.pools[t.pool].sizes.add(in.Cores, p.now)
+		p.pools[t.pool].sizes.add(in.Cores)
 	}
 	if len(p.waiting) > 0 {
 		p.wait(t)
@@ -311,9 +308,6 @@
 
 // usable says whether some kind of machine could ever hold the task.
 func (p *Placer) usable(t *Task) bool {
-	if t.Class < 0 || t.Class >= len(p.set.Classes) || !(t.Cores >= 0) || !(t.Memory >= 0) {
-		return false
-	}
 	for k, kind := range p.set.Kinds {
 		if c := p.set.Classes[t.Class].Kind; c >= 0 && c != k {
 			continue
@@ -326,7 +320,7 @@
 }
 
 func (p *Placer) handOver(ev HandedOver) {
-	if t := &ev.Task; t.Class < 0 || t.Class >= len(p.set.Classes) || !(t.Cores >= 0) || !(t.Memory >= 0) {
+	if !p.known(&ev.Task) {
 		return
 	}
 	t := &task{Task: ev.Task}
@@ -350,7 +344,11 @@
 	slices.SortStableFunc(line, func(a, b *task) int { return cmp.Compare(p.value(b), p.value(a)) })
 	cores, memory := p.mostFree()
 	for _, t := range line {
-		if !t.open || p.out1(t) {
+		if !t.open || p.isOut(t) {
+			continue
+		}
+		if p.now < t.restUntil {
+			p.wait(t)
 			continue
 		}
 		mayPush := p.set.Preempts && p.set.Classes[t.Class].Priority > 0
@@ -385,14 +383,14 @@
 		return
 	}
 	t.open = false
+	ran := t.mayRun != nil || p.isOut(t)
+	if p.isOut(t) && p.set.MayWithdraw {
+		p.do(Withdraw{Task: t.ID, Attempt: len(t.attempts) - 1})
+	}
 	c := Class{}
-	if t.Class >= 0 && t.Class < len(p.set.Classes) {
+	if p.known(&t.Task) {
 		c = p.set.Classes[t.Class]
 	}
-	ran := t.mayRun != nil || p.out1(t)
-	if p.out1(t) && p.set.MayWithdraw {
-		p.do(Withdraw{Task: t.ID, Attempt: len(t.attempts) - 1})
-	}
 	if !ran || c.Effect == Safe || c.Effect == Keyed && c.Group == Anywhere {
 		p.do(Refuse{Task: t.ID})
 	} else {
@@ -410,7 +408,7 @@
 		p.end(t)
 		return true
 	}
-	m := p.choose(t)
+	m := p.choose(t, needs)
 	if m == nil {
 		return false
 	}
@@ -446,10 +444,8 @@
 	{line: 2 * startLine, full: true, push: true},
 }
 
-// choose looks in the task's own group first and then in ever farther ones.
-func (p *Placer) choose(t *task) *machine { return p.chooseBy(needs, t) }
-
-func (p *Placer) chooseBy(needs []need, t *task) *machine {
+// choose looks for each need in the task's own group first and then in ever farther ones.
+func (p *Placer) choose(t *task, needs []need) *machine {
 	for _, want := range needs {
 		if want.push && (!p.set.Preempts || p.set.Classes[t.Class].Priority == 0) {
 			continue
@@ -475,18 +471,16 @@
 		return nil
 	}
 	own := int(pl.sizes.position(t.Cores, p.set.MeanCores, t.Service) * float64(n))
-	for d := range n {
-		// Downward first: upward lies the room that large tasks need.
-		for _, i := range []int{own - d, own + d} {
-			if i < 0 || i >= n || d == 0 && i != own {
-				continue
-			}
-			if m := p.pick(t, pl.group(i, n), want); m != nil {
-				return m
-			}
-			if d == 0 {
-				break
-			}
+	for d := range 2 * n {
+		i := own + d/2
+		if d%2 == 1 { // downward first: upward lies the room that large tasks need
+			i = own - (d+1)/2
+		}
+		if i < 0 || i >= n {
+			continue
+		}
+		if m := p.pick(t, pl.group(i, n), want); m != nil {
+			return m
 		}
 	}
 	return nil
@@ -802,7 +796,7 @@
 		return
 	}
 	a.machine.restUntil = p.now + moveRest
-	if p.chooseBy(needs[:moveNeeds], a.task) != nil {
+	if p.choose(a.task, needs[:moveNeeds]) != nil {
 		p.do(Stop{Task: a.task.ID})
 	}
 }
@@ -834,15 +828,26 @@
 	p.changed = true
 	if t.open && p.now >= t.deadline-deadlineMargin {
 		p.end(t)
-	} else if t.open && !p.place(t) {
+	} else if t.open && (p.pauses(t, ev.Result) || !p.place(t)) {
 		p.wait(t)
 	}
 	p.forget(t)
 }
 
+// pauses says whether a task waits before its next attempt: from the second refusal on, ever
+// longer. It guards against placers that all offer into the same full machines and use up their
+// attempts before anything can change; it may hurt where room comes up within the pause.
+func (p *Placer) pauses(t *task, r Result) bool {
+	if r != Full || len(t.attempts) < 2 {
+		return false
+	}
+	t.restUntil = p.now + p.jitter(refusedRest<<min(len(t.attempts)-2, 4))
+	return true
+}
+
 // overdue looks after an attempt that has had no answer for a while.
 func (p *Placer) overdue(t *task) {
-	if !t.open || !p.out1(t) {
+	if !t.open || !p.isOut(t) {
 		return
 	}
 	a := t.attempts[len(t.attempts)-1]
--- a/state.go
+++ b/state.go
@@ -44,10 +44,8 @@
 
 // histogram holds the load of each size: the asked cores of the tasks that had it, decayed.
 type histogram struct {
-	load    [256]float64
-	total   float64
-	count   float64
-	decayed time.Duration
+	load  [256]float64
+	total float64
 }
 
 // bucket gives sizes 16 buckets a doubling, from 2^-6 up.
@@ -97,11 +95,12 @@
 
 type task struct {
 	Task
-	deadline time.Duration
-	pool     int
-	attempts []*attempt
-	open     bool     // an answer is owed
-	mayRun   *attempt // the first attempt that may have run
+	deadline  time.Duration
+	pool      int
+	attempts  []*attempt
+	open      bool          // an answer is owed
+	restUntil time.Duration // turned away, not to be offered before
+	mayRun    *attempt      // the first attempt that may have run
 }
 
 type attempt struct {
@@ -244,14 +243,19 @@
 	return cores, memory
 }
 
-// out1 says whether an attempt of the task is out.
-func (p *Placer) out1(t *task) bool {
+// isOut says whether an attempt of the task is out.
+func (p *Placer) isOut(t *task) bool {
 	return len(t.attempts) > 0 && !t.attempts[len(t.attempts)-1].over
 }
 
+// known says whether the task's figures make sense and its class is one of the settings.
+func (p *Placer) known(t *Task) bool {
+	return t.Class >= 0 && t.Class < len(p.set.Classes) && t.Cores >= 0 && t.Memory >= 0
+}
+
 // forget drops a task that is owed nothing once its last attempt is over.
 func (p *Placer) forget(t *task) {
-	if !t.open && !p.out1(t) {
+	if !t.open && !p.isOut(t) {
 		delete(p.tasks, t.ID)
 	}
 }
