--- a/placer.go
+++ b/placer.go
@@ -59,8 +59,6 @@
 	coldSlots = 3
 	// A task turned away twice rests this long, doubled each time: so long a view takes to change.
 	refusedRest = 500 * time.Millisecond
-	// Machines in use beyond what is asked, for demand that rises and late views.
-	openSpare = 1.15
 	// What a refusal tells of a machine's room holds until the view knows, or this long.
 	refusalHolds = 4 * time.Second
 	// A machine with a full line of offers gets nothing new for this long.
@@ -187,31 +185,9 @@
 		}
 	}
 	p.reorder()
-	p.open()
 	p.changed = true
 }
 
-// open says what share of each group is in use: enough for all that is asked by the view, and some
-// to spare. All placers see nearly the same. It guards against machines that hold a few tasks each,
-// which are paid for beyond need; it may hurt where demand jumps faster than the view.
-func (p *Placer) open() {
-	p.openShare = 1
-	if !p.set.ListsFree || p.set.Prices.Machine <= 0 {
-		return
-	}
-	var cores, memory, allCores, allMemory float64
-	for _, pl := range p.pools {
-		for _, m := range pl.order {
-			k := p.set.Kinds[m.Kind]
-			cores, memory = cores+k.Cores-m.FreeCores, memory+k.Memory-m.FreeMemory
-			allCores, allMemory = allCores+k.Cores, allMemory+k.Memory
-		}
-	}
-	cores /= allCores * min(p.set.AcceptCores, p.calm/p.cores.ratio())
-	memory /= allMemory * min(p.set.AcceptMemory, memoryCalm/p.memory.ratio())
-	p.openShare = min(1, max(cores, memory)*openSpare)
-}
-
 // listEntry takes one entry of the list.
 func (p *Placer) listEntry(entry Machine) {
 	if entry.Kind < 0 || entry.Kind >= len(p.pools) {
@@ -455,7 +431,6 @@
 	line int  // fewer than so many of our starts are pending there
 	push bool // room counts what tasks of lower priority hold, which the machine pushes out
 	full bool // room as far as it accepts, not only as far as it serves well
-	last bool // also the machines at the end of each group, which stay empty while others have room
 }
 
 // needs are tried in turn, each over all groups from the task's own outwards. Starts cost
@@ -465,9 +440,8 @@
 	{warm: true, line: 2 * startLine},
 	{line: 1},
 	{line: startLine},
-	{line: startLine, last: true},
-	{line: 2 * startLine, last: true, full: true},
-	{line: 2 * startLine, last: true, full: true, push: true},
+	{line: 2 * startLine, full: true},
+	{line: 2 * startLine, full: true, push: true},
 }
 
 // choose looks for each need in the task's own group first and then in ever farther ones.
@@ -516,14 +490,7 @@
 // program first, and takes the tightest fit; ties at random.
 func (p *Placer) pick(t *task, group []*machine, want need) *machine {
 	var room, warm []*machine
-	open := int(math.Ceil(p.openShare * float64(len(group))))
 	for _, m := range group {
-		if open <= 0 && !want.last {
-			break
-		}
-		if m.State == Ready && m.failures == 0 && !p.isCold(m) {
-			open--
-		}
 		if !p.allowed(t, m) || !p.fits(t, m, want) {
 			continue
 		}
--- a/state.go
+++ b/state.go
@@ -9,26 +9,25 @@
 
 // Placer decides for one placer. It is not safe for concurrent use.
 type Placer struct {
-	set       Settings
-	rng       *rand.Rand
-	now       time.Duration
-	born      time.Duration // the first Step of this life
-	out       []Action
-	machines  map[MachineID]*machine
-	pools     []*pool // by kind
-	tasks     map[TaskID]*task
-	services  map[uint64][]*attempt // live attempts of each service
-	held      map[int]float64       // cores asked for by our live attempts of each tenant
-	waiting   []*task               // no machine yet
-	retry     bool                  // a retry timer is out
-	changed   bool                  // room may have come up
-	calm      float64               // cores busy up to this share serve every class in full
-	cores     usage
-	memory    usage
-	list      listState
-	lag       lagFinder
-	openShare float64 // of each group
-	news      []news  // of this step, to tell the others
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	born     time.Duration // the first Step of this life
+	out      []Action
+	machines map[MachineID]*machine
+	pools    []*pool // by kind
+	tasks    map[TaskID]*task
+	services map[uint64][]*attempt // live attempts of each service
+	held     map[int]float64       // cores asked for by our live attempts of each tenant
+	waiting  []*task               // no machine yet
+	retry    bool                  // a retry timer is out
+	changed  bool                  // room may have come up
+	calm     float64               // cores busy up to this share serve every class in full
+	cores    usage
+	memory   usage
+	list     listState
+	lag      lagFinder
+	news     []news // of this step, to tell the others
 }
 
 // lagFinder learns which lag makes changes of the view match our own binds and ends best.
