Keep a class off a machine that leaves its tasks unanswered, tell all within a price

Guards against machines that answer and fail at one class; also slow starts of one class. Timers come last in a moment, so a placer that stood still reads its answers first.

--- a/news.go
+++ b/news.go
@@ -14,6 +14,23 @@
 	newsShare = newsSize / 256. // of a full message
 )
 
+// A message of ailSize bytes names a machine and a class that it fails at.
+const (
+	ailSize  = 5
+	ailShare = ailSize / 256.
+)
+
+func packAil(id MachineID, class int) []byte {
+	return append(binary.LittleEndian.AppendUint32(nil, uint32(id)), byte(class))
+}
+
+func unpackAil(data []byte) (id MachineID, class int, ok bool) {
+	if len(data) != ailSize {
+		return 0, 0, false
+	}
+	return MachineID(binary.LittleEndian.Uint32(data)), int(data[4]), true
+}
+
 // packNews writes news into as many messages as it takes.
 func packNews(items []news) [][]byte {
 	var messages [][]byte
--- a/placer.go
+++ b/placer.go
@@ -52,6 +52,10 @@
 	moveBelow = 0.5
 	moveNeeds = 2
 	moveRest  = 2 * time.Second
+	// A start that takes so many times the mean, learned over so many, will not come, and keeps its
+	// class off the machine for up to so long: a short trouble's length.
+	slowStarts, startsLearned = 4, 20
+	ailRest                   = 10 * time.Second
 	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
@@ -102,7 +106,8 @@
 	p := &Placer{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		machines: map[MachineID]*machine{}, tasks: map[TaskID]*task{}, services: map[uint64][]*attempt{},
-		held: map[int]float64{}, lag: lagFinder{best: firstLag},
+		startTook: patience,
+		held:      map[int]float64{}, lag: lagFinder{best: firstLag},
 	}
 	p.calm = set.Classes[0].Calm
 	for _, c := range set.Classes {
@@ -121,7 +126,7 @@
 		p.list.started, p.born = true, now
 		p.askIn(p.askSpread() * time.Duration(p.set.Self) / time.Duration(p.set.Placers))
 	}
-	for _, ev := range knowledgeFirst(events) {
+	for _, ev := range ordered(events) {
 		p.take(ev)
 	}
 	if p.changed {
@@ -132,6 +137,24 @@
 	return p.out
 }
 
+// ordered puts lists and handed-over tasks before the other events of a moment and timers behind:
+// no offer then goes by older knowledge than the moment has, and a placer that stood still reads
+// the answers that came meanwhile before it takes them for overdue.
+func ordered(events []Event) []Event {
+	rank := func(ev Event) int {
+		switch ev.(type) {
+		case Update, HandedOver:
+			return 0
+		case TimerFired:
+			return 2
+		}
+		return 1
+	}
+	events = slices.Clone(events)
+	slices.SortStableFunc(events, func(a, b Event) int { return rank(a) - rank(b) })
+	return events
+}
+
 // ---- The list of machines.
 
 // subscribe asks for the list's changes, again if the call stays unanswered.
@@ -293,6 +316,7 @@
 		p.end(t)
 		return
 	}
+	p.ailCredit += newsPrice
 	p.setTimer(timerDeadline, uint32(in.ID), max(in.Wait-deadlineMargin, 0))
 	t.pool = p.poolOf(&in)
 	if !in.Again {
@@ -532,6 +556,9 @@
 // budget, the spread of the service and the group of a keyed task.
 func (p *Placer) allowed(t *task, m *machine) bool {
 	c := &p.set.Classes[t.Class]
+	if m.avoid != nil && p.now < m.avoid[t.Class] {
+		return false
+	}
 	if m.State != Ready || m.suspectUntil > p.now || m.failures > 0 || !p.coldBudget(m) {
 		return false
 	}
@@ -725,6 +752,12 @@
 // against placers that all see the same room and fill it at once. A lost message costs a
 // refusal, or hides some room until the view is newer.
 func (p *Placer) told(data []byte) {
+	if id, class, ok := unpackAil(data); ok {
+		if m := p.machines[id]; m != nil && class < len(p.set.Classes) {
+			p.avoid(m, class)
+		}
+		return
+	}
 	for _, item := range unpackNews(data) {
 		m := p.machines[item.machine]
 		if m == nil {
@@ -762,6 +795,10 @@
 	}
 	a.bound, a.machine.stale = true, true
 	a.task.open = false
+	p.startTook += (ev.Took - p.startTook) / startsLearned
+	if m := a.machine; m.avoid != nil {
+		m.avoid[a.task.Class] = 0
+	}
 	p.wellSeen(a.machine)
 	if p.set.BoundWhenRunning {
 		p.runs(a)
@@ -855,7 +892,11 @@
 		return
 	}
 	m := a.machine
-	if m.failures > 0 && p.mayLeave(t) {
+	silent := m.answeredAt > a.sentAt && p.now >= a.sentAt+max(2*patience, slowStarts*p.startTook)
+	if silent {
+		p.ails(m, t.Class)
+	}
+	if (silent || m.failures > 0) && p.mayLeave(t) {
 		p.do(Withdraw{Task: t.ID, Attempt: a.number})
 		return
 	}
@@ -863,11 +904,31 @@
 	p.setTimer(timerPatience, uint32(t.ID), patience)
 }
 
+// ails keeps a class off a machine that answers but leaves its tasks unanswered, and tells the
+// others, who see too few tasks to find out alone. It guards against machines that fail at one
+// class for whatever reason, and may hurt where starts are slow for a while.
+func (p *Placer) ails(m *machine, class int) {
+	p.avoid(m, class)
+	price := float64(p.set.Placers-1) * ailShare * p.set.Prices.Tell
+	if p.set.MayTell && p.set.Placers > 1 && price <= p.ailCredit {
+		p.ailCredit -= price
+		p.do(Tell{To: Everyone, Data: packAil(m.ID, class)})
+	}
+}
+
+// avoid keeps the class off the machine for a while; jitter lets few placers try it first.
+func (p *Placer) avoid(m *machine, class int) {
+	if m.avoid == nil {
+		m.avoid = make([]time.Duration, len(p.set.Classes))
+	}
+	m.avoid[class] = p.now + p.jitter(ailRest)
+}
+
 // mayLeave says whether an attempt that may have run can be called off for another.
 func (p *Placer) mayLeave(t *task) bool {
 	c := &p.set.Classes[t.Class]
 	return p.set.MayWithdraw && len(t.attempts) < p.set.MaxAttempts &&
-		(c.Effect == Safe || c.Effect == Keyed && c.Group == Anywhere)
+		(c.Effect == Safe || c.Effect == Keyed)
 }
 
 // ---- Health: a machine that does not answer gets nothing new until it does.
@@ -903,7 +964,7 @@
 	}
 }
 
-func (p *Placer) wellSeen(m *machine) { m.failures, m.suspectUntil = 0, 0 }
+func (p *Placer) wellSeen(m *machine) { m.failures, m.suspectUntil, m.answeredAt = 0, 0, p.now }
 
 // report takes a load report as a fresher view where the list shows no free amounts.
 func (p *Placer) report(m *machine, r *Report) {
--- a/state.go
+++ b/state.go
@@ -9,25 +9,27 @@
 
 // Placer decides for one placer. It is not safe for concurrent use.
 type Placer struct {
-	set      Settings
-	rng      *rand.Rand
-	now      time.Duration
-	born     time.Duration // the first Step of this life
-	out      []Action
-	machines map[MachineID]*machine
-	pools    []*pool // by kind
-	tasks    map[TaskID]*task
-	services map[uint64][]*attempt // live attempts of each service
-	held     map[int]float64       // cores asked for by our live attempts of each tenant
-	waiting  []*task               // no machine yet
-	retry    bool                  // a retry timer is out
-	changed  bool                  // room may have come up
-	calm     float64               // cores busy up to this share serve every class in full
-	cores    usage
-	memory   usage
-	list     listState
-	lag      lagFinder
-	news     []news // of this step, to tell the others
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	born      time.Duration // the first Step of this life
+	out       []Action
+	machines  map[MachineID]*machine
+	pools     []*pool // by kind
+	tasks     map[TaskID]*task
+	services  map[uint64][]*attempt // live attempts of each service
+	held      map[int]float64       // cores asked for by our live attempts of each tenant
+	waiting   []*task               // no machine yet
+	retry     bool                  // a retry timer is out
+	changed   bool                  // room may have come up
+	calm      float64               // cores busy up to this share serve every class in full
+	cores     usage
+	memory    usage
+	list      listState
+	lag       lagFinder
+	startTook time.Duration // from offer to bind, in the mean
+	ailCredit float64       // what news of ailing machines may cost yet, in tasks
+	news      []news        // of this step, to tell the others
 }
 
 // lagFinder learns which lag makes changes of the view match our own binds and ends best.
@@ -81,8 +83,10 @@
 	failures     int
 	suspectUntil time.Duration
 	probing      bool
-	hiddenAt     time.Duration // when a refusal showed that less is free than the view says
-	hiddenCores  float64       // by how much
+	answeredAt   time.Duration
+	avoid        []time.Duration // by class, until when it gets none
+	hiddenAt     time.Duration   // when a refusal showed that less is free than the view says
+	hiddenCores  float64         // by how much
 	hiddenMemory float64
 	ease         float64
 	easedAt      time.Duration
@@ -334,18 +338,3 @@
 	}
 	return cores, memory
 }
-
-// knowledgeFirst puts lists and handed-over tasks before the other events of a moment, each in
-// their order: no offer then goes by older knowledge than the moment has.
-func knowledgeFirst(events []Event) []Event {
-	first, rest := make([]Event, 0, len(events)), []Event(nil)
-	for _, ev := range events {
-		switch ev.(type) {
-		case Update, HandedOver:
-			first = append(first, ev)
-		default:
-			rest = append(rest, ev)
-		}
-	}
-	return append(first, rest...)
-}
