--- a/placer.go
+++ b/placer.go
@@ -27,7 +27,9 @@
 	// The told mean weighs as much as so many tasks of mean size.
 	toldSizes = 30
 	// Two machines are drawn for a service, so that its program stays present on both.
-	handful  = 2
+	handful = 2
+	// Fits closer than this, as shares of a machine, are the same by a late view.
+	fitStep  = 0.3
 	firstLag = 2 // the place in lags to begin with: a second
 	// Ended attempts are remembered this long for a view that is later still.
 	viewMemory = 10 * time.Second
@@ -245,15 +247,7 @@
 		}
 	}
 	for _, pl := range p.pools {
-		slices.SortFunc(pl.order, func(a, b *machine) int {
-			ha, hb := mix(uint64(a.ID)), mix(uint64(b.ID))
-			if ha < hb {
-				return -1
-			} else if ha > hb {
-				return 1
-			}
-			return 0
-		})
+		slices.SortFunc(pl.order, func(a, b *machine) int { return cmp.Compare(a.hash, b.hash) })
 	}
 }
 
@@ -510,45 +504,37 @@
 	return nil
 }
 
-// pick draws a handful of the group's machines with room, those that hold the service's
-// program first, and takes the tightest fit; ties at random.
+// pick draws a handful of the group's machines with room, those that hold the service's program if
+// any do, and takes the tightest fit. The handful and ties go by the service's hash, so that all
+// placers bring one program to the same machines; fits that differ by less than a late view can
+// tell are ties.
 func (p *Placer) pick(t *task, group []*machine, want need) *machine {
-	var room, warm []*machine
+	var drawn [handful]*machine // by hash
+	warm := want.warm
 	for _, m := range group {
 		if !p.allowed(t, m) || !p.fits(t, m, want) {
 			continue
 		}
-		room = append(room, m)
-		if p.holds(m, t.Service) {
-			warm = append(warm, m)
+		if holds := p.holds(m, t.Service); holds && !warm {
+			warm, drawn = true, [handful]*machine{}
+		} else if warm && !holds {
+			continue
 		}
-	}
-	if len(warm) > 0 {
-		room = warm
-	} else if len(room) > handful {
-		// Every placer draws the same machines for a service.
-		slices.SortFunc(room, func(a, b *machine) int {
-			ha, hb := mix(t.Service^mix(uint64(a.ID))), mix(t.Service^mix(uint64(b.ID)))
-			if ha < hb {
-				return -1
+		for i, other := range drawn {
+			if other == nil || m.rank(t.Service) < other.rank(t.Service) {
+				drawn[i], m = m, other
 			}
-			return 1
-		})
-		room = room[:handful]
-	}
-	var best *machine
-	least, ties := 0.0, 0
-	for _, m := range room {
-		left := p.left(t, m)
-		switch {
-		case best == nil || left < least-1e-9:
-			best, least, ties = m, left, 1
-		case left <= least+1e-9:
-			if ties++; p.rng.IntN(ties) == 0 {
-				best = m
+			if m == nil {
+				break
 			}
 		}
 	}
+	best := drawn[0]
+	for _, m := range drawn[1:] {
+		if m != nil && p.left(t, m) < p.left(t, best)-fitStep {
+			best = m
+		}
+	}
 	return best
 }
 
--- a/state.go
+++ b/state.go
@@ -72,6 +72,7 @@
 
 type machine struct {
 	Machine
+	hash         uint64 // of its id
 	viewAt       time.Duration
 	ownCores     float64 // asked for by our live attempts here
 	ownMemory    float64
@@ -211,12 +212,15 @@
 func (p *Placer) machine(id MachineID) *machine {
 	m := p.machines[id]
 	if m == nil {
-		m = &machine{Machine: Machine{ID: id, State: Gone, Cell: -1, Zone: -1}}
+		m = &machine{Machine: Machine{ID: id, State: Gone, Cell: -1, Zone: -1}, hash: mix(uint64(id))}
 		p.machines[id] = m
 	}
 	return m
 }
 
+// rank orders machines for a service, the same at every placer.
+func (m *machine) rank(service uint64) uint64 { return mix(service ^ m.hash) }
+
 // live returns the attempt of that number if it is the task's and not over.
 func (p *Placer) live(id TaskID, number int) *attempt {
 	t := p.tasks[id]
