Count two silent attempts before a class is kept off; what is told decides ties and rests

Now a start is silent past twice the slowest twentieth, two silent ones keep the class off, and ties and rests act only where rooms are not told.

--- a/placer.go
+++ b/placer.go
@@ -54,10 +54,10 @@
 	moveBelow = 0.5
 	moveNeeds = 2
 	moveRest  = 2 * time.Second
-	// A start that takes so many times the mean, learned over so many, will not come, and keeps its
-	// class off the machine for up to so long: a short trouble's length.
-	slowStarts, startsLearned = 4, 20
-	ailRest                   = 10 * time.Second
+	// A slow start is one of twenty; until learned it takes so long. One that takes twice as long will
+	// not come, and keeps its class off the machine for up to so long: a short trouble's length.
+	firstSlow = 1500 * time.Millisecond
+	ailRest   = 10 * time.Second
 	// A machine that fails a probe or a connection rests this long, doubled each time it fails again.
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
@@ -108,7 +108,7 @@
 	p := &Placer{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		machines: map[MachineID]*machine{}, tasks: map[TaskID]*task{}, services: map[uint64][]*attempt{},
-		startTook: patience,
+		slowStart: firstSlow,
 		held:      map[int]float64{}, lag: lagFinder{best: firstLag},
 	}
 	p.calm = set.Classes[0].Calm
@@ -509,29 +509,32 @@
 // placers bring one program to the same machines; fits that differ by less than a late view can
 // tell are ties.
 func (p *Placer) pick(t *task, group []*machine, want need) *machine {
-	var drawn [handful]*machine // by hash
+	step := fitStep
+	if p.knowsRooms() {
+		step = 0
+	}
+	p.drawn = p.drawn[:0]
 	warm := want.warm
 	for _, m := range group {
 		if !p.allowed(t, m) || !p.fits(t, m, want) {
 			continue
 		}
 		if holds := p.holds(m, t.Service); holds && !warm {
-			warm, drawn = true, [handful]*machine{}
+			warm, p.drawn = true, p.drawn[:0]
 		} else if warm && !holds {
 			continue
 		}
-		for i, other := range drawn {
-			if other == nil || m.rank(t.Service) < other.rank(t.Service) {
-				drawn[i], m = m, other
-			}
-			if m == nil {
-				break
-			}
+		at := len(p.drawn)
+		for at > 0 && m.rank(t.Service) < p.drawn[at-1].rank(t.Service) {
+			at--
+		}
+		if p.drawn = slices.Insert(p.drawn, at, m); !warm && len(p.drawn) > handful {
+			p.drawn = p.drawn[:handful]
 		}
 	}
-	best := drawn[0]
-	for _, m := range drawn[1:] {
-		if m != nil && p.left(t, m) < p.left(t, best)-fitStep {
+	var best *machine
+	for _, m := range p.drawn {
+		if best == nil || p.left(t, m) < p.left(t, best)-step {
 			best = m
 		}
 	}
@@ -542,10 +545,7 @@
 // budget, the spread of the service and the group of a keyed task.
 func (p *Placer) allowed(t *task, m *machine) bool {
 	c := &p.set.Classes[t.Class]
-	if m.avoid != nil && p.now < m.avoid[t.Class] {
-		return false
-	}
-	if m.State != Ready || m.suspectUntil > p.now || m.failures > 0 || !p.coldBudget(m) {
+	if m.State != Ready || p.avoids(m, t.Class) || m.suspectUntil > p.now || m.failures > 0 || !p.coldBudget(m) {
 		return false
 	}
 	if t.mayRun != nil && c.Effect == Keyed && !same(c.Group, m, t.mayRun.machine) {
@@ -727,6 +727,9 @@
 	p.news = p.news[:0]
 }
 
+// knowsRooms says whether the view and what we are told leave little that others took unseen.
+func (p *Placer) knowsRooms() bool { return p.set.Placers == 1 || p.tellsRoom() }
+
 // tellsRoom says whether news of rooms is worth its price. It guards against a cost in messages and
 // in their reading that grows with the placers.
 func (p *Placer) tellsRoom() bool {
@@ -740,7 +743,7 @@
 func (p *Placer) told(data []byte) {
 	if id, class, ok := unpackAil(data); ok {
 		if m := p.machines[id]; m != nil && class < len(p.set.Classes) {
-			p.avoid(m, class)
+			p.strike(m, class)
 		}
 		return
 	}
@@ -781,9 +784,13 @@
 	}
 	a.bound, a.machine.stale = true, true
 	a.task.open = false
-	p.startTook += (ev.Took - p.startTook) / startsLearned
-	if m := a.machine; m.avoid != nil {
-		m.avoid[a.task.Class] = 0
+	if ev.Took > p.slowStart {
+		p.slowStart += p.slowStart / 5
+	} else {
+		p.slowStart -= p.slowStart / 100
+	}
+	if a.machine.ails != nil {
+		a.machine.ails[a.task.Class] = ailing{}
 	}
 	p.wellSeen(a.machine)
 	if p.set.BoundWhenRunning {
@@ -861,7 +868,7 @@
 // longer. It guards against placers that all offer into the same full machines and use up their
 // attempts before anything can change; it may hurt where room comes up within the pause.
 func (p *Placer) pauses(t *task, r Result) bool {
-	if r != Full || len(t.attempts) < 2 {
+	if r != Full || len(t.attempts) < 2 || p.knowsRooms() {
 		return false
 	}
 	t.restUntil = p.now + p.jitter(refusedRest<<min(len(t.attempts)-2, 4))
@@ -878,11 +885,12 @@
 		return
 	}
 	m := a.machine
-	silent := m.answeredAt > a.sentAt && p.now >= a.sentAt+max(2*patience, slowStarts*p.startTook)
-	if silent {
+	silent := m.answeredAt > a.sentAt && p.now >= a.sentAt+max(2*patience, 2*p.slowStart)
+	if silent && !a.silent {
+		a.silent = true
 		p.ails(m, t.Class)
 	}
-	if (silent || m.failures > 0) && p.mayLeave(t) {
+	if (silent && p.avoids(m, t.Class) || m.failures > 0) && p.mayLeave(t) {
 		p.do(Withdraw{Task: t.ID, Attempt: a.number})
 		return
 	}
@@ -890,11 +898,11 @@
 	p.setTimer(timerPatience, uint32(t.ID), patience)
 }
 
-// ails keeps a class off a machine that answers but leaves its tasks unanswered, and tells the
+// ails counts a silent attempt of the class against a machine that answers otherwise, and tells the
 // others, who see too few tasks to find out alone. It guards against machines that fail at one
 // class for whatever reason, and may hurt where starts are slow for a while.
 func (p *Placer) ails(m *machine, class int) {
-	p.avoid(m, class)
+	p.strike(m, class)
 	price := float64(p.set.Placers-1) * ailShare * p.set.Prices.Tell
 	if p.set.MayTell && p.set.Placers > 1 && price <= p.ailCredit {
 		p.ailCredit -= price
@@ -902,19 +910,27 @@
 	}
 }
 
-// avoid keeps the class off the machine for a while; jitter lets few placers try it first.
-func (p *Placer) avoid(m *machine, class int) {
-	if m.avoid == nil {
-		m.avoid = make([]time.Duration, len(p.set.Classes))
+// strike keeps the class off the machine for a while at the second silent attempt with no start
+// between, ours or others'; jitter lets few placers try it first.
+func (p *Placer) strike(m *machine, class int) {
+	if m.ails == nil {
+		m.ails = make([]ailing, len(p.set.Classes))
 	}
-	m.avoid[class] = p.now + p.jitter(ailRest)
+	if ail := &m.ails[class]; ail.struckAt > 0 && p.now < ail.struckAt+ailRest {
+		ail.until = p.now + p.jitter(ailRest)
+	}
+	m.ails[class].struckAt = p.now
+}
+
+func (p *Placer) avoids(m *machine, class int) bool {
+	return m.ails != nil && p.now < m.ails[class].until
 }
 
 // mayLeave says whether an attempt that may have run can be called off for another.
 func (p *Placer) mayLeave(t *task) bool {
 	c := &p.set.Classes[t.Class]
 	return p.set.MayWithdraw && len(t.attempts) < p.set.MaxAttempts &&
-		(c.Effect == Safe || c.Effect == Keyed)
+		(c.Effect == Safe || c.Effect == Keyed && c.Group == Anywhere)
 }
 
 // ---- Health: a machine that does not answer gets nothing new until it does.
--- a/state.go
+++ b/state.go
@@ -20,6 +20,7 @@
 	services  map[uint64][]*attempt // live attempts of each service
 	held      map[int]float64       // cores asked for by our live attempts of each tenant
 	waiting   []*task               // no machine yet
+	drawn     []*machine            // used again by each pick
 	retry     bool                  // a retry timer is out
 	changed   bool                  // room may have come up
 	calm      float64               // cores busy up to this share serve every class in full
@@ -27,7 +28,7 @@
 	memory    usage
 	list      listState
 	lag       lagFinder
-	startTook time.Duration // from offer to bind, in the mean
+	slowStart time.Duration // from offer to bind, of the slowest twentieth
 	ailCredit float64       // what news of ailing machines may cost yet, in tasks
 	news      []news        // of this step, to tell the others
 }
@@ -85,9 +86,9 @@
 	suspectUntil time.Duration
 	probing      bool
 	answeredAt   time.Duration
-	avoid        []time.Duration // by class, until when it gets none
-	hiddenAt     time.Duration   // when a refusal showed that less is free than the view says
-	hiddenCores  float64         // by how much
+	ails         []ailing      // by class
+	hiddenAt     time.Duration // when a refusal showed that less is free than the view says
+	hiddenCores  float64       // by how much
 	hiddenMemory float64
 	ease         float64
 	easedAt      time.Duration
@@ -117,8 +118,12 @@
 	bound   bool
 	runs    bool
 	over    bool
+	silent  bool // counted as one that its machine leaves unanswered
 }
 
+// ailing is what is known of a class that a machine leaves unanswered.
+type ailing struct{ struckAt, until time.Duration }
+
 // news is room that a task takes on a machine, or leaves where the amounts are negative.
 type news struct {
 	at            time.Duration
