--- a/placer.go
+++ b/placer.go
@@ -51,9 +51,10 @@
 	easeLeast  = 0.6
 	easeBack   = 90 * time.Second
 	// A task that gets less than this is moved where one of the first needs finds another machine.
-	moveBelow = 0.5
-	moveNeeds = 2
-	moveRest  = 2 * time.Second
+	moveBelow   = 0.5
+	moveNeeds   = 2
+	movesAtOnce = 8 // by all placers together, in a second
+	moveRest    = 2 * time.Second
 	// A slow start is one of twenty; until learned it takes so long. One that takes twice as long will
 	// not come, and keeps its class off the machine for up to so long: a short trouble's length.
 	firstSlow = 1500 * time.Millisecond
@@ -820,11 +821,17 @@
 
 // moveAway stops a task that gets little where another machine would serve it well: one a note,
 // and notes come about once a second. It guards against tasks stuck on a machine that is slow,
-// crowded or misjudged; it may hurt where service was about to come back.
+// crowded or misjudged; it may hurt where service was about to come back. Each placer moves by its
+// part of what the machine holds: else all that have a task there would move one each.
 func (p *Placer) moveAway(a *attempt, served float64) {
 	if served >= moveBelow || a.task.open {
 		return
 	}
+	cores, _ := p.free(a.machine)
+	part := a.machine.ownCores / (p.set.Kinds[a.machine.Kind].Cores - cores)
+	if part*movesAtOnce < 1 && p.rng.Float64() > part*movesAtOnce {
+		return
+	}
 	a.machine.restUntil = p.now + moveRest
 	if p.choose(a.task, needs[:moveNeeds]) != nil {
 		p.do(Stop{Task: a.task.ID})
