--- a/placer.go
+++ b/placer.go
@@ -64,9 +64,8 @@
 	suspectMost  = 4 * time.Second
 	// Slots in a window over which offers to a cold machine count: with more, a slot holds no offer.
 	coldSlots = 3
-	// A task turned away rests this long for each refusal to a bind among the last offers.
-	refusedRest, refusedMost = 150 * time.Millisecond, 2 * time.Second
-	offersLearned            = 16
+	// A task turned away twice rests this long, doubled each time: so long a view takes to change.
+	refusedRest = 500 * time.Millisecond
 	// What a refusal tells of a machine's room holds until the view knows, or this long.
 	refusalHolds = 4 * time.Second
 	// A machine with a full line of offers gets nothing new for this long.
@@ -786,7 +785,6 @@
 	}
 	a.bound, a.machine.stale = true, true
 	a.task.open = false
-	p.turnedAway -= p.turnedAway / offersLearned
 	if ev.Took > p.slowStart {
 		p.slowStart += p.slowStart / 5
 	} else {
@@ -858,7 +856,6 @@
 		t.open = false
 	}
 	if ev.Result == Full {
-		p.turnedAway += (1 - p.turnedAway) / offersLearned
 		p.refused(a, ev.Reason)
 	}
 	never := ev.Result == Full || ev.Result == ConnectFailed || ev.Result == Moot
@@ -874,16 +871,15 @@
 	p.forget(t)
 }
 
-// pauses says whether a task waits before its next attempt: longer, the more of our offers are
-// turned away. It guards against placers that all offer into the same full machines and use up
-// their attempts before anything can change; it may hurt where room comes up within the pause.
+// pauses says whether a task waits before its next attempt: from the second refusal on, ever
+// longer. It guards against placers that all offer into the same full machines and use up their
+// attempts before anything can change; it may hurt where room comes up within the pause.
 func (p *Placer) pauses(t *task, r Result) bool {
-	if r != Full || p.knowsRooms() {
+	if r != Full || len(t.attempts) < 2 || p.knowsRooms() {
 		return false
 	}
-	odds := p.turnedAway / (1 - p.turnedAway)
-	t.restUntil = p.now + p.jitter(min(time.Duration(float64(refusedRest)*odds), refusedMost))
-	return t.restUntil > p.now+retryEvery
+	t.restUntil = p.now + p.jitter(refusedRest<<min(len(t.attempts)-2, 4))
+	return true
 }
 
 // overdue looks after an attempt that has had no answer for a while.
--- a/state.go
+++ b/state.go
@@ -9,29 +9,28 @@
 
 // Placer decides for one placer. It is not safe for concurrent use.
 type Placer struct {
-	set        Settings
-	rng        *rand.Rand
-	now        time.Duration
-	born       time.Duration // the first Step of this life
-	out        []Action
-	machines   map[MachineID]*machine
-	pools      []*pool // by kind
-	tasks      map[TaskID]*task
-	services   map[uint64][]*attempt // live attempts of each service
-	held       map[int]float64       // cores asked for by our live attempts of each tenant
-	waiting    []*task               // no machine yet
-	drawn      []*machine            // used again by each pick
-	retry      bool                  // a retry timer is out
-	changed    bool                  // room may have come up
-	calm       float64               // cores busy up to this share serve every class in full
-	cores      usage
-	memory     usage
-	list       listState
-	lag        lagFinder
-	slowStart  time.Duration // from offer to bind, of the slowest twentieth
-	turnedAway float64       // share of our last offers
-	ailCredit  float64       // what news of ailing machines may cost yet, in tasks
-	news       []news        // of this step, to tell the others
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	born      time.Duration // the first Step of this life
+	out       []Action
+	machines  map[MachineID]*machine
+	pools     []*pool // by kind
+	tasks     map[TaskID]*task
+	services  map[uint64][]*attempt // live attempts of each service
+	held      map[int]float64       // cores asked for by our live attempts of each tenant
+	waiting   []*task               // no machine yet
+	drawn     []*machine            // used again by each pick
+	retry     bool                  // a retry timer is out
+	changed   bool                  // room may have come up
+	calm      float64               // cores busy up to this share serve every class in full
+	cores     usage
+	memory    usage
+	list      listState
+	lag       lagFinder
+	slowStart time.Duration // from offer to bind, of the slowest twentieth
+	ailCredit float64       // what news of ailing machines may cost yet, in tasks
+	news      []news        // of this step, to tell the others
 }
 
 // lagFinder learns which lag makes changes of the view match our own binds and ends best.
