--- a/placer.go
+++ b/placer.go
@@ -64,8 +64,6 @@
 	suspectMost  = 4 * time.Second
 	// Slots in a window over which offers to a cold machine count: with more, a slot holds no offer.
 	coldSlots = 3
-	// A task turned away twice rests this long, doubled each time: so long a view takes to change.
-	refusedRest = 500 * time.Millisecond
 	// What a refusal tells of a machine's room holds until the view knows, or this long.
 	refusalHolds = 4 * time.Second
 	// A machine with a full line of offers gets nothing new for this long.
@@ -871,14 +869,15 @@
 	p.forget(t)
 }
 
-// pauses says whether a task waits before its next attempt: from the second refusal on, ever
-// longer. It guards against placers that all offer into the same full machines and use up their
+// pauses says whether a task waits before its next attempt: from the second refusal on, so that
+// the attempts left spread over the time left. It guards against placers that all offer into the same full machines and use up their
 // attempts before anything can change; it may hurt where room comes up within the pause.
 func (p *Placer) pauses(t *task, r Result) bool {
 	if r != Full || len(t.attempts) < 2 || p.knowsRooms() {
 		return false
 	}
-	t.restUntil = p.now + p.jitter(refusedRest<<min(len(t.attempts)-2, 4))
+	left := time.Duration(max(p.set.MaxAttempts-len(t.attempts), 0))
+	t.restUntil = p.now + p.jitter((t.deadline-p.now)/(left+1))
 	return true
 }
 
