--- a/placer.go
+++ b/placer.go
@@ -8,9 +8,7 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -44,12 +42,6 @@
 	memoryCalm = 0.88
 	// An attempt without an answer for this long gets its machine probed.
 	patience = 700 * time.Millisecond
-	// A note that a task gets less than this share of full service takes a step off what its machine
-	// is given, down to the least; all of it comes back in easeBack.
-	wellServed = 0.9
-	easeStep   = 0.06
-	easeLeast  = 0.6
-	easeBack   = 90 * time.Second
 	// A task that gets less than this is moved where one of the first needs finds another machine.
 	moveBelow   = 0.5
 	moveNeeds   = 2
@@ -84,42 +76,12 @@
 	askTurn  = 20 * time.Millisecond
 )
 
-// Timer purposes, in the upper half of a timer's number; the lower is a task's or machine's.
-const (
-	timerDeadline = iota + 1
-	timerPatience
-	timerRetry
-	timerList
-	timerSuspect
-)
-
 // lags are the candidates for how late the view is.
 var lags = [...]time.Duration{
 	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond,
 	2 * time.Second, 3 * time.Second, 4500 * time.Millisecond, 7 * time.Second,
 }
 
-// New returns a placer for the settings, or an error that names the field it cannot use.
-func New(set Settings, seed uint64) (*Placer, error) {
-	if err := check(&set); err != nil {
-		return nil, fmt.Errorf("forkhead: %w", err)
-	}
-	p := &Placer{
-		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		machines: map[MachineID]*machine{}, tasks: map[TaskID]*task{}, services: map[uint64][]*attempt{},
-		slowStart: firstSlow,
-		held:      map[int]float64{}, lag: lagFinder{best: firstLag},
-	}
-	p.calm = set.Classes[0].Calm
-	for _, c := range set.Classes {
-		p.calm = min(p.calm, c.Calm) // a machine holds them all
-	}
-	for range set.Kinds {
-		p.pools = append(p.pools, &pool{})
-	}
-	return p, nil
-}
-
 // Step takes the events of one moment in order and returns what to do, in order.
 func (p *Placer) Step(now time.Duration, events []Event) []Action {
 	p.now, p.out = now, nil
@@ -234,22 +196,6 @@
 	}
 }
 
-// reorder lays the machines of each kind out by the hash of their ids. A draining
-// machine keeps its slot, so that the groups stay as they are until it is gone.
-func (p *Placer) reorder() {
-	for _, pl := range p.pools {
-		pl.order = pl.order[:0]
-	}
-	for _, m := range p.machines {
-		if m.State != Gone {
-			p.pools[m.Kind].order = append(p.pools[m.Kind].order, m)
-		}
-	}
-	for _, pl := range p.pools {
-		slices.SortFunc(pl.order, func(a, b *machine) int { return cmp.Compare(a.hash, b.hash) })
-	}
-}
-
 // ---- Sizes, intervals and groups.
 
 func (h *histogram) add(size float64) {
@@ -323,30 +269,6 @@
 	}
 }
 
-// usable says whether some kind of machine could ever hold the task.
-func (p *Placer) usable(t *Task) bool {
-	for k, kind := range p.set.Kinds {
-		if c := p.set.Classes[t.Class].Kind; c >= 0 && c != k {
-			continue
-		}
-		if t.Cores <= kind.Cores*p.set.AcceptCores && t.Memory <= kind.Memory*p.set.AcceptMemory {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *Placer) handOver(ev HandedOver) {
-	if !p.known(&ev.Task) {
-		return
-	}
-	t := &task{Task: ev.Task}
-	p.tasks[t.ID] = t
-	a := p.attempt(t, p.machine(ev.Machine))
-	a.bound = true
-	p.runs(a)
-}
-
 func (p *Placer) wait(t *task) {
 	p.waiting = append(p.waiting, t)
 	if !p.retry {
@@ -359,17 +281,11 @@
 	line := p.waiting
 	p.waiting = nil
 	slices.SortStableFunc(line, func(a, b *task) int { return cmp.Compare(p.value(b), p.value(a)) })
-	cores, memory := p.mostFree()
 	for _, t := range line {
 		if !t.open || p.isOut(t) {
 			continue
 		}
-		if p.now < t.restUntil {
-			p.wait(t)
-			continue
-		}
-		mayPush := p.set.Preempts && p.set.Classes[t.Class].Priority > 0
-		if !mayPush && (t.Cores > cores || t.Memory > memory) || !p.place(t) {
+		if p.now < t.restUntil || !p.place(t) {
 			p.wait(t)
 		}
 	}
@@ -544,7 +460,8 @@
 // budget, the spread of the service and the group of a keyed task.
 func (p *Placer) allowed(t *task, m *machine) bool {
 	c := &p.set.Classes[t.Class]
-	if m.State != Ready || p.avoids(m, t.Class) || m.suspectUntil > p.now || m.failures > 0 || !p.coldBudget(m) {
+	if m.State != Ready || m.suspectUntil > p.now || m.failures > 0 || p.avoids(m, t.Class) ||
+		!p.coldBudget(m) {
 		return false
 	}
 	if t.mayRun != nil && c.Effect == Keyed && !same(c.Group, m, t.mayRun.machine) {
@@ -623,6 +540,24 @@
 	return m.freeCores, m.freeMemory
 }
 
+// since is what the tasks we know of ask for on the machine now, less what they did at a time.
+func (m *machine) since(at time.Duration) (cores, memory float64) {
+	for _, a := range m.attempts {
+		if a.sentAt > at && (a.bound || !a.over) {
+			cores, memory = cores+a.task.Cores, memory+a.task.Memory
+		}
+		if a.over && a.bound && a.endedAt > at {
+			cores, memory = cores-a.task.Cores, memory-a.task.Memory
+		}
+	}
+	for _, o := range m.others {
+		if o.at > at {
+			cores, memory = cores+o.cores, memory+o.memory
+		}
+	}
+	return cores, memory
+}
+
 // learnLag compares a change of the view with that of our own tasks under each lag. It guards
 // against a view that is late by an unknown and changing time, whatever makes it late.
 func (p *Placer) learnLag(m *machine, change float64) {
@@ -672,7 +607,7 @@
 		if p.isCold(m) && m.starting > 0 {
 			return false
 		}
-		topCores = min(topCores, p.calm/p.cores.ratio()) * m.easy(p.now)
+		topCores = min(topCores, p.calm/p.cores.ratio())
 	}
 	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
 	cores, memory := p.free(m)
@@ -690,16 +625,6 @@
 	return t.Cores <= cores+kind.Cores*(topCores-1) && t.Memory <= memory+kind.Memory*(topMemory-1)
 }
 
-// easy is the share of its usual tasks that a machine is given. Tasks served poorly lower it,
-// whatever the cause: a slow machine, a swing in use, tasks that hide what they use. It comes
-// back by itself. It may hurt where a few tasks swing often and their machine is well.
-func (m *machine) easy(now time.Duration) float64 {
-	if m.ease == 0 {
-		return 1
-	}
-	return min(1, m.ease+float64(now-m.easedAt)/float64(easeBack))
-}
-
 // left is what the task would leave free, cores and memory each as a share of the machine.
 func (p *Placer) left(t *task, m *machine) float64 {
 	cores, memory := p.free(m)
@@ -707,14 +632,12 @@
 	return (cores-t.Cores)/kind.Cores + (memory-t.Memory)/kind.Memory
 }
 
-// holds says whether the machine has the service's program, as far as our own tasks tell.
-func (p *Placer) holds(m *machine, service uint64) bool {
-	for _, a := range p.services[service] {
-		if a.machine == m {
-			return true
-		}
+// keep takes the program to be on the machine from now on, until newer ones displace it.
+func (m *machine) keep(program uint32) {
+	m.kept = slices.DeleteFunc(m.kept, func(other uint32) bool { return other == program })
+	if m.kept = append(m.kept, program); len(m.kept) > keptPrograms {
+		m.kept = m.kept[1:]
 	}
-	return slices.Contains(m.kept, program(service))
 }
 
 // tell lets the others know what room our tasks took and left where, and with what program, as
@@ -806,10 +729,7 @@
 	case NoteRuns:
 		p.runs(a)
 	case NoteServed:
-		if m := a.machine; ev.Amount < wellServed {
-			m.ease, m.easedAt = max(m.easy(p.now)-easeStep, easeLeast), p.now
-			p.moveAway(a, ev.Amount)
-		}
+		p.moveAway(a, ev.Amount)
 	case NoteCores:
 		p.cores.learn(ev.Amount, a.task.Cores)
 	case NoteMemory:
@@ -870,8 +790,9 @@
 }
 
 // pauses says whether a task waits before its next attempt: from the second refusal on, so that
-// the attempts left spread over the time left. It guards against placers that all offer into the same full machines and use up their
-// attempts before anything can change; it may hurt where room comes up within the pause.
+// the attempts left spread over the time left. It guards against placers that all offer into the
+// same full machines and use up their attempts before anything can change; it may hurt where room
+// comes up within the pause.
 func (p *Placer) pauses(t *task, r Result) bool {
 	if r != Full || len(t.attempts) < 2 || p.knowsRooms() {
 		return false
--- a/state.go
+++ b/state.go
@@ -1,6 +1,8 @@
 package forkhead
 
 import (
+	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -90,8 +92,6 @@
 	hiddenAt     time.Duration // when a refusal showed that less is free than the view says
 	hiddenCores  float64       // by how much
 	hiddenMemory float64
-	ease         float64
-	easedAt      time.Duration
 	freeCores    float64 // what free last returned, until stale
 	freeMemory   float64
 	freeAt       time.Duration
@@ -189,6 +189,36 @@
 	return time.Duration(float64(d) * (0.5 + p.rng.Float64()/2))
 }
 
+// Timer purposes, in the upper half of a timer's number; the lower is a task's or machine's.
+const (
+	timerDeadline = iota + 1
+	timerPatience
+	timerRetry
+	timerList
+	timerSuspect
+)
+
+// New returns a placer for the settings, or an error that names the field it cannot use.
+func New(set Settings, seed uint64) (*Placer, error) {
+	if err := check(&set); err != nil {
+		return nil, fmt.Errorf("forkhead: %w", err)
+	}
+	p := &Placer{
+		set: set, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		machines: map[MachineID]*machine{}, tasks: map[TaskID]*task{}, services: map[uint64][]*attempt{},
+		slowStart: firstSlow,
+		held:      map[int]float64{}, lag: lagFinder{best: firstLag},
+	}
+	p.calm = set.Classes[0].Calm
+	for _, c := range set.Classes {
+		p.calm = min(p.calm, c.Calm) // a machine holds them all
+	}
+	for range set.Kinds {
+		p.pools = append(p.pools, &pool{})
+	}
+	return p, nil
+}
+
 // mix is a fixed hash, the same at every placer.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
@@ -238,24 +268,6 @@
 // program is the short name under which placers speak of a service's program.
 func program(service uint64) uint32 { return uint32(mix(service)) }
 
-// since is what the tasks we know of ask for on the machine now, less what they did at a time.
-func (m *machine) since(at time.Duration) (cores, memory float64) {
-	for _, a := range m.attempts {
-		if a.sentAt > at && (a.bound || !a.over) {
-			cores, memory = cores+a.task.Cores, memory+a.task.Memory
-		}
-		if a.over && a.bound && a.endedAt > at {
-			cores, memory = cores-a.task.Cores, memory-a.task.Memory
-		}
-	}
-	for _, o := range m.others {
-		if o.at > at {
-			cores, memory = cores+o.cores, memory+o.memory
-		}
-	}
-	return cores, memory
-}
-
 // isOut says whether an attempt of the task is out.
 func (p *Placer) isOut(t *task) bool {
 	return len(t.attempts) > 0 && !t.attempts[len(t.attempts)-1].over
@@ -317,14 +329,6 @@
 	})
 }
 
-// keep takes the program to be on the machine from now on, until newer ones displace it.
-func (m *machine) keep(program uint32) {
-	m.kept = slices.DeleteFunc(m.kept, func(other uint32) bool { return other == program })
-	if m.kept = append(m.kept, program); len(m.kept) > keptPrograms {
-		m.kept = m.kept[1:]
-	}
-}
-
 // changedRoom notes a change for the others; the attempt's machine takes or frees its task's room.
 func (p *Placer) changedRoom(a *attempt, sign float64) {
 	if p.tellsRoom() {
@@ -335,15 +339,40 @@
 	}
 }
 
-// mostFree is more room than any machine has, so that a long line of waiting tasks is cheap to try.
-func (p *Placer) mostFree() (cores, memory float64) {
+// reorder lays the machines of each kind out by the hash of their ids. A draining
+// machine keeps its slot, so that the groups stay as they are until it is gone.
+func (p *Placer) reorder() {
+	for _, pl := range p.pools {
+		pl.order = pl.order[:0]
+	}
+	for _, m := range p.machines {
+		if m.State != Gone {
+			p.pools[m.Kind].order = append(p.pools[m.Kind].order, m)
+		}
+	}
 	for _, pl := range p.pools {
-		for _, m := range pl.order {
-			c, mem := p.free(m)
-			kind := p.set.Kinds[m.Kind]
-			cores = max(cores, c+kind.Cores*(p.set.AcceptCores-1))
-			memory = max(memory, mem+kind.Memory*(p.set.AcceptMemory-1))
+		slices.SortFunc(pl.order, func(a, b *machine) int { return cmp.Compare(a.hash, b.hash) })
+	}
+}
+
+// handOver takes in a task that runs already.
+func (p *Placer) handOver(ev HandedOver) {
+	if !p.known(&ev.Task) {
+		return
+	}
+	t := &task{Task: ev.Task}
+	p.tasks[t.ID] = t
+	a := p.attempt(t, p.machine(ev.Machine))
+	a.bound = true
+	p.runs(a)
+}
+
+// holds says whether the machine has the service's program, as far as our own tasks tell.
+func (p *Placer) holds(m *machine, service uint64) bool {
+	for _, a := range p.services[service] {
+		if a.machine == m {
+			return true
 		}
 	}
-	return cores, memory
+	return slices.Contains(m.kept, program(service))
 }
--- a/validate.go
+++ b/validate.go
@@ -48,3 +48,16 @@
 	}
 	return nil
 }
+
+// usable says whether some kind of machine could ever hold the task.
+func (p *Placer) usable(t *Task) bool {
+	for k, kind := range p.set.Kinds {
+		if c := p.set.Classes[t.Class].Kind; c >= 0 && c != k {
+			continue
+		}
+		if t.Cores <= kind.Cores*p.set.AcceptCores && t.Memory <= kind.Memory*p.set.AcceptMemory {
+			return true
+		}
+	}
+	return false
+}
