Order machines only when one comes or goes; bound news; a part of a share is a few tasks

Cause: a tenant's share over several hundred placers is under one task, so every task was beyond it; each list change sorted the fleet; news of a machine had no bound. New checks: Self, prices; tests of price, silence, late events, moves, floods.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -105,3 +105,224 @@
 		}
 	}
 }
+
+// Every change was once told to everyone: the price of a task's messages grew with the placers.
+func TestPriceOfMessagesStaysBounded(t *testing.T) {
+	for _, n := range []int{1, 3, 130, 470} {
+		set := testSettings()
+		set.MayTell, set.Placers, set.Prices.Tell = true, n, 0.01
+		b := newBench(t, set, fleet(12))
+		const tasks = 300
+		cost := 0.0
+		count := func(actions []Action) {
+			for _, tell := range only[Tell](actions) {
+				cost += float64(len(tell.Data)) / 256 * float64(n-1) * set.Prices.Tell
+			}
+		}
+		for i := range tasks {
+			id, actions := b.arrive(0, uint64(i%20))
+			count(actions)
+			for _, o := range only[Offer](actions) {
+				// Every third start is slow: the machine answers a probe, the task stays unanswered.
+				for wait := 0; i%3 == 0 && wait < 6; wait++ {
+					b.now += patience
+					count(b.step(Probed{Machine: o.Machine, Result: OK}))
+					count(b.step(TimerFired{Timer: timerPatience<<32 | uint64(id)}))
+				}
+				count(b.step(Bound{Task: id, Machine: o.Machine}))
+				count(b.step(Outcome{Task: id, Machine: o.Machine, Result: OK, Final: true}))
+			}
+			b.now += 500 * time.Millisecond
+		}
+		if cost > 2*newsPrice*tasks {
+			t.Errorf("%d placers: messages cost %.4f a task, at most %g", n, cost/tasks, 2*newsPrice)
+		}
+		if n == 3 && cost == 0 {
+			t.Error("three placers tell each other nothing")
+		}
+	}
+}
+
+// silentTwice leaves two attempts of class 0 unanswered on the one machine, which answers probes.
+func silentTwice(b *bench) []Action {
+	var said []Action
+	for service := range uint64(2) {
+		id, actions := b.arrive(0, service)
+		b.offered(actions)
+		b.now += time.Millisecond
+		b.step(Probed{Machine: 1, Result: OK})
+		b.now += 2*firstSlow + patience
+		actions = b.step(TimerFired{Timer: timerPatience<<32 | uint64(id)})
+		said = append(said, actions...)
+		b.step(Outcome{Task: id, Machine: 1, Result: Withdrawn, Final: true})
+	}
+	return said
+}
+
+func twoClasses() Settings {
+	set := testSettings()
+	set.Classes = append(set.Classes, set.Classes[0])
+	set.Placers, set.MayTell = 200, true
+	return set
+}
+
+// A machine that left one class unanswered was once offered it again and again.
+func TestClassIsKeptOffTheMachineThatLeavesItUnanswered(t *testing.T) {
+	set := twoClasses()
+	b := newBench(t, set, fleet(1))
+	said := silentTwice(b)
+	if _, actions := b.arrive(0, 3); len(only[Offer](actions)) > 0 {
+		t.Fatal("the class was offered again at once")
+	}
+	if _, actions := b.arrive(1, 4); len(only[Offer](actions)) != 1 {
+		t.Fatalf("the other class is kept off too: %v", describe(actions))
+	}
+	b.now += ailRest
+	_, actions := b.arrive(0, 5)
+	if b.step(TimerFired{Timer: timerRetry << 32}); len(b.p.waiting) > 0 {
+		t.Fatalf("kept off for good: %v", describe(actions))
+	}
+	other := newBench(t, set, fleet(1))
+	told := only[Tell](said)
+	if len(told) == 0 {
+		t.Fatal("nobody was told")
+	}
+	for range 2 {
+		other.step(Told{From: 1, Data: told[0].Data})
+	}
+	if _, actions := other.arrive(0, 3); len(only[Offer](actions)) > 0 {
+		t.Error("a placer that was told twice offered the class")
+	}
+}
+
+// A placer that stood still once took attempts for overdue whose answers came in the same moment.
+func TestAnswersOfAMomentComeBeforeItsTimers(t *testing.T) {
+	b := newBench(t, testSettings(), fleet(1))
+	id, actions := b.arrive(0, 7)
+	first := b.offered(actions)
+	b.now += 2 * time.Second
+	actions = b.step(
+		TimerFired{Timer: timerPatience<<32 | uint64(id)}, Bound{Task: id, Machine: first.Machine},
+	)
+	if len(only[Probe](actions))+len(only[Withdraw](actions)) > 0 {
+		t.Errorf("took an answered attempt for overdue: %v", describe(actions))
+	}
+}
+
+// A placer that wakes to everything at once still answers each task once and in time.
+func TestManyLateEventsInOneStep(t *testing.T) {
+	b := newBench(t, testSettings(), fleet(12))
+	var events []Event
+	for i := range 3000 {
+		task := b.task(0, uint64(i))
+		task.Wait = 20 * time.Millisecond
+		events = append(events, Arrival{Task: task})
+	}
+	actions := b.step(events...)
+	answers := map[TaskID]int{}
+	for range 4 {
+		var due []Event
+		for _, a := range actions {
+			switch a := a.(type) {
+			case SetTimer:
+				if a.At <= b.now+20*time.Millisecond {
+					due = append(due, TimerFired{Timer: a.Timer})
+				}
+			case Refuse:
+				answers[a.Task]++
+			case Fail:
+				answers[a.Task]++
+			}
+		}
+		b.now += 15 * time.Millisecond
+		actions = b.step(due...)
+	}
+	for id := TaskID(1); id <= 3000; id++ {
+		if answers[id] != 1 {
+			t.Fatalf("task %d has %d answers", id, answers[id])
+		}
+	}
+}
+
+// Each placer with a task on a machine that serves poorly once moved one: all at once.
+func TestMovesOfManyPlacersStayFew(t *testing.T) {
+	set := testSettings()
+	set.Kinds[0] = Kind{Cores: 100, Memory: 200}
+	machines := fleet(2)
+	for i := range machines {
+		machines[i].FreeCores, machines[i].FreeMemory = 20, 40
+	}
+	moved := 0
+	for _, p := range placers(t, set, 200) {
+		p.Step(time.Hour, []Event{
+			Update{Mode: ListSaved, Machines: machines},
+			HandedOver{Task: Task{ID: 1, Service: 7, Cores: 0.4, Memory: 1}, Machine: 1},
+		})
+		moved += len(only[Stop](p.Step(time.Hour+time.Second, []Event{
+			Note{Task: 1, Machine: 1, Kind: NoteServed, Amount: 0.1},
+		})))
+	}
+	if moved < 1 || moved > 3*movesAtOnce {
+		t.Errorf("200 placers moved %d tasks off one machine in a moment, about %d wanted", moved, movesAtOnce)
+	}
+}
+
+// A flood of messages, whole or broken, is passed over or stays within bounds.
+func TestFloodOfMessagesIsBounded(t *testing.T) {
+	for _, n := range []int{3, 470} {
+		set := testSettings()
+		set.MayTell, set.Placers = true, n
+		b := newBench(t, set, fleet(3))
+		for i := range 20000 {
+			item := news{machine: MachineID(i%4 + 1), program: uint32(i), cores: 0.1, memory: 0.1}
+			b.step(
+				Told{From: 1, Data: packNews([]news{item})[0]}, Told{From: 1, Data: make([]byte, i%255)},
+				Told{From: 1, Data: packAil(MachineID(i), i%256)},
+			)
+		}
+		if len(b.p.machines) != 3 {
+			t.Errorf("%d machines after messages that name unknown ones, want 3", len(b.p.machines))
+		}
+		for _, m := range b.p.machines {
+			if len(m.others) > newsMost || len(m.kept) > keptPrograms {
+				t.Errorf("machine %d holds %d pieces of news, %d programs", m.ID, len(m.others), len(m.kept))
+			}
+		}
+	}
+}
+
+func benchmarkStep(b *testing.B, machines int, event func(p *Placer, i int) Event) {
+	set := testSettings()
+	set.Placers = 400
+	p, err := New(set, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	p.Step(time.Hour, []Event{Update{Mode: ListSaved, Machines: fleet(machines)}})
+	i := 0
+	for b.Loop() {
+		p.Step(time.Hour+time.Duration(i)*time.Millisecond, []Event{event(p, i)})
+		i++
+		if id := TaskID(i); p.tasks[id] != nil && p.isOut(p.tasks[id]) {
+			p.Step(p.now, []Event{Outcome{Task: id, Result: OK, Final: true}})
+		}
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("arrival/%d", n), func(b *testing.B) {
+			benchmarkStep(b, n, func(_ *Placer, i int) Event {
+				return Arrival{Task: Task{ID: TaskID(i + 1), Service: uint64(i % 50), Wait: time.Second, Cores: 1, Memory: 1}}
+			})
+		})
+		list := fleet(n)
+		b.Run(fmt.Sprintf("list/%d", n), func(b *testing.B) {
+			benchmarkStep(b, n, func(_ *Placer, i int) Event {
+				m := list[i%n]
+				m.FreeCores = float64(i % 10)
+				return Update{Mode: ListDelta, Machines: []Machine{m}}
+			})
+		})
+	}
+}
--- a/placer.go
+++ b/placer.go
@@ -62,9 +62,12 @@
 	lineRest = 300 * time.Millisecond
 	// A start in time is worth about as much as the half of a task's run that is left on average.
 	timelyWorth = 1.5
+	// A placer's part of a tenant's share is this many tasks at least: fewer come by chance.
+	fewTasks = 4
 	// News of rooms is told while the start and end of a task together cost less than this share
 	// of the result: to a handful of placers. Among more, each one's news changes little.
 	newsPrice = 0.005
+	newsMost  = 500 // pieces of news of a machine: more are a flood
 	// Waiting tasks are tried again this often, beside each time that something changes.
 	retryEvery = 50 * time.Millisecond
 	// A task is ended this long before its owner gives up: a tick or two.
@@ -165,12 +168,14 @@
 	}
 	if u.Mode != ListDelta {
 		for id, m := range p.machines {
-			if !listed[id] {
-				m.State = Gone
+			if !listed[id] && m.State != Gone {
+				m.State, p.regroup = Gone, true
 			}
 		}
 	}
-	p.reorder()
+	if p.regroup {
+		p.reorder()
+	}
 	p.changed = true
 }
 
@@ -188,6 +193,7 @@
 	if m.viewAt > 0 && entry.Started == m.Started {
 		p.learnLag(m, entry.FreeCores-m.FreeCores)
 	}
+	p.regroup = p.regroup || m.Kind != entry.Kind || (m.State == Gone) != (entry.State == Gone)
 	m.Machine = entry
 	m.viewAt, m.stale = p.now, true
 	if !p.set.ListsFree {
@@ -302,8 +308,9 @@
 		v *= timelyWorth
 	}
 	if t.Tenant >= 0 && t.Tenant < len(p.set.Tenants) {
-		share := p.set.Tenants[t.Tenant].Cores / float64(p.set.Placers)
-		if share > 0 && p.held[t.Tenant]+t.Cores > share {
+		share := p.set.Tenants[t.Tenant].Cores
+		part := max(share/float64(p.set.Placers), fewTasks*p.set.MeanCores)
+		if share > 0 && p.held[t.Tenant]+t.Cores > part {
 			v *= p.set.OverShareWorth
 		}
 	}
@@ -671,13 +678,15 @@
 	}
 	for _, item := range unpackNews(data) {
 		m := p.machines[item.machine]
-		if m == nil {
+		if m == nil || !p.tellsRoom() {
 			continue
 		}
 		m.keep(item.program)
 		item.at = p.now
 		m.others = slices.DeleteFunc(m.others, func(o news) bool { return o.at < p.now-viewMemory })
-		m.others = append(m.others, item)
+		if m.others = append(m.others, item); len(m.others) > newsMost {
+			m.others = m.others[1:]
+		}
 		m.stale = true
 	}
 }
--- a/state.go
+++ b/state.go
@@ -24,6 +24,7 @@
 	waiting   []*task               // no machine yet
 	drawn     []*machine            // used again by each pick
 	retry     bool                  // a retry timer is out
+	regroup   bool                  // machines came or went
 	changed   bool                  // room may have come up
 	calm      float64               // cores busy up to this share serve every class in full
 	cores     usage
@@ -342,6 +343,7 @@
 // reorder lays the machines of each kind out by the hash of their ids. A draining
 // machine keeps its slot, so that the groups stay as they are until it is gone.
 func (p *Placer) reorder() {
+	p.regroup = false
 	for _, pl := range p.pools {
 		pl.order = pl.order[:0]
 	}
--- a/validate.go
+++ b/validate.go
@@ -11,6 +11,8 @@
 	switch {
 	case set.Placers < 1:
 		return fmt.Errorf("Placers is %d, want at least 1", set.Placers)
+	case set.Self < 0 || set.Self >= set.Placers:
+		return fmt.Errorf("Self is %d, want 0 to %d", set.Self, set.Placers-1)
 	case len(set.Classes) == 0:
 		return fmt.Errorf("Classes is empty")
 	case len(set.Kinds) == 0:
@@ -24,6 +26,14 @@
 		"ColdWindow": float64(set.ColdWindow), "DrainGrace": float64(set.DrainGrace),
 		"MustAskWithin": float64(set.MustAskWithin), "OwnerWait": float64(set.OwnerWait),
 	}
+	prices := map[string]float64{
+		"Machine": set.Prices.Machine, "Move": set.Prices.Move, "Evict": set.Prices.Evict,
+		"Refusal": set.Prices.Refusal, "Zone": set.Prices.Zone, "Waste": set.Prices.Waste,
+		"Probe": set.Prices.Probe, "Tell": set.Prices.Tell, "List": set.Prices.List,
+	}
+	for name, price := range prices {
+		figures["Prices."+name] = price
+	}
 	for i, k := range set.Kinds {
 		figures[fmt.Sprintf("Kinds[%d].Cores", i)] = k.Cores
 		figures[fmt.Sprintf("Kinds[%d].Memory", i)] = k.Memory
--- a/validate_test.go
+++ b/validate_test.go
@@ -8,17 +8,23 @@
 
 func TestNewNamesTheFieldItCannotUse(t *testing.T) {
 	cases := map[string]func(*Settings){
-		"Classes":          func(s *Settings) { s.Classes = nil },
-		"Kinds":            func(s *Settings) { s.Kinds = nil },
-		"Placers":          func(s *Settings) { s.Placers = 0 },
-		"MaxAttempts":      func(s *Settings) { s.MaxAttempts = 0 },
-		"MeanCores":        func(s *Settings) { s.MeanCores = math.NaN() },
-		"Kinds[0].Cores":   func(s *Settings) { s.Kinds[0].Cores = math.Inf(1) },
-		"Kinds[0].Memory":  func(s *Settings) { s.Kinds[0].Memory = -1 },
-		"Classes[0].Kind":  func(s *Settings) { s.Classes[0].Kind = 1 },
-		"Classes[0].Calm":  func(s *Settings) { s.Classes[0].Calm = math.NaN() },
-		"ColdOffers":       func(s *Settings) { s.ColdOffers = -1 },
-		"Classes[0].Most ": func(s *Settings) { s.Classes[0].Most = -1 },
+		"Classes":            func(s *Settings) { s.Classes = nil },
+		"Kinds":              func(s *Settings) { s.Kinds = nil },
+		"Placers":            func(s *Settings) { s.Placers = 0 },
+		"Self is -1":         func(s *Settings) { s.Self = -1 },
+		"Self is 3":          func(s *Settings) { s.Placers, s.Self = 3, 3 },
+		"Placers is -2":      func(s *Settings) { s.Placers = -2 },
+		"Prices.Tell":        func(s *Settings) { s.Prices.Tell = math.NaN() },
+		"Prices.Zone":        func(s *Settings) { s.Prices.Zone = math.Inf(1) },
+		"ColdOffers is +Inf": func(s *Settings) { s.ColdOffers = math.Inf(1) },
+		"MaxAttempts":        func(s *Settings) { s.MaxAttempts = 0 },
+		"MeanCores":          func(s *Settings) { s.MeanCores = math.NaN() },
+		"Kinds[0].Cores":     func(s *Settings) { s.Kinds[0].Cores = math.Inf(1) },
+		"Kinds[0].Memory":    func(s *Settings) { s.Kinds[0].Memory = -1 },
+		"Classes[0].Kind":    func(s *Settings) { s.Classes[0].Kind = 1 },
+		"Classes[0].Calm":    func(s *Settings) { s.Classes[0].Calm = math.NaN() },
+		"ColdOffers":         func(s *Settings) { s.ColdOffers = -1 },
+		"Classes[0].Most ":   func(s *Settings) { s.Classes[0].Most = -1 },
 	}
 	for field, spoil := range cases {
 		s := testSettings()
