--- a/placer.go
+++ b/placer.go
@@ -44,7 +44,7 @@
 	patience = 700 * time.Millisecond
 	// A task that gets less than this is moved where one of the first needs finds another machine.
 	moveBelow   = 0.5
-	moveNeeds   = 4
+	moveNeeds   = 2
 	movesAtOnce = 8 // by all placers together, in a second
 	moveRest    = 2 * time.Second
 	// A slow start is one of twenty; until learned it takes so long. One that takes twice as long will
@@ -370,7 +370,6 @@
 	warm bool // it holds the service's program
 	line int  // fewer than so many of our starts are pending there
 	push bool // room counts what tasks of lower priority hold, which the machine pushes out
-	near bool // it is in our zone
 	full bool // room as far as it accepts, not only as far as it serves well
 }
 
@@ -378,8 +377,6 @@
 // several times more where the program is absent, and a machine starts few tasks at a time:
 // so a machine with the program comes first, wherever it is, then one with an empty line.
 var needs = []need{
-	{warm: true, line: 2 * startLine, near: true},
-	{line: 1, near: true},
 	{warm: true, line: 2 * startLine},
 	{line: 1},
 	{line: startLine},
@@ -390,9 +387,6 @@
 // choose looks for each need in the task's own group first and then in ever farther ones.
 func (p *Placer) choose(t *task, needs []need) *machine {
 	for _, want := range needs {
-		if want.near && (p.set.Prices.Zone == 0 || p.knowsRooms()) {
-			continue
-		}
 		if want.push && (!p.set.Preempts || p.set.Classes[t.Class].Priority == 0) {
 			continue
 		}
@@ -610,7 +604,7 @@
 // fits says whether the machine has room: as much as it accepts where full is wanted,
 // else as much as leaves its tasks well served.
 func (p *Placer) fits(t *task, m *machine, want need) bool {
-	if p.now < m.restUntil || m.starting >= want.line || want.warm && !p.holds(m, t.Service) || want.near && m.Zone != p.set.Zone {
+	if p.now < m.restUntil || m.starting >= want.line || want.warm && !p.holds(m, t.Service) {
 		return false
 	}
 	kind := p.set.Kinds[m.Kind]
