--- a/placer.go
+++ b/placer.go
@@ -56,6 +56,8 @@
 	suspectMost  = 4 * time.Second
 	// Slots in a window over which offers to a cold machine count: with more, a slot holds no offer.
 	coldSlots = 3
+	// Lots for room hold this long: about a view's lag.
+	roomSlot = time.Second
 	// What a refusal tells of a machine's room holds until the view knows, or this long.
 	refusalHolds = 4 * time.Second
 	// A machine with a full line of offers gets nothing new for this long.
@@ -438,7 +440,7 @@
 	p.drawn = p.drawn[:0]
 	warm := want.warm
 	for _, m := range group {
-		if !p.allowed(t, m) || !p.fits(t, m, want) {
+		if !p.allowed(t, m) || !p.fits(t, m, want) || !p.hasTurn(t, m) {
 			continue
 		}
 		if holds := p.holds(m, t.Service); holds && !warm {
@@ -463,6 +465,19 @@
 	return best
 }
 
+// hasTurn draws lots for a machine's room, which all placers see: as many of them may offer in a slot
+// of time as tasks like this would fit. It acts on tasks that were turned away. It guards against
+// all placers offering into one hole, and may hurt where few of them have anything to place.
+func (p *Placer) hasTurn(t *task, m *machine) bool {
+	if len(t.attempts) < 2 || p.knowsRooms() {
+		return true
+	}
+	cores, memory := p.free(m)
+	holes := max(1, min(cores/t.Cores, memory/t.Memory))
+	slot := mix(m.hash + uint64((p.now+time.Duration(m.hash%uint64(roomSlot)))/roomSlot))
+	return share(mix(slot^uint64(p.set.Self)))*float64(p.set.Placers) < holes
+}
+
 // allowed applies the filters that no shortage of room lifts: state, health, the cold
 // budget, the spread of the service and the group of a keyed task.
 func (p *Placer) allowed(t *task, m *machine) bool {
