--- a/placer.go
+++ b/placer.go
@@ -101,7 +101,10 @@
 		p.changed = false
 		p.placeWaiting()
 	}
-	p.tell()
+	for _, data := range packNews(p.news) {
+		p.do(Tell{To: Everyone, Data: data})
+	}
+	p.news = p.news[:0]
 	return p.out
 }
 
@@ -301,8 +304,7 @@
 
 // value ranks waiting tasks: by the worth of their class, less where their tenant is beyond its
 // share of what we place, more while a start is still in time. It guards tenants within their
-// share against those beyond it whenever room is short, whatever made it so. It may hurt where
-// this placer sees an uneven part of a tenant's traffic.
+// share, and may hurt where this placer sees an uneven part of a tenant's traffic.
 func (p *Placer) value(t *task) float64 {
 	c := &p.set.Classes[t.Class]
 	v := c.Worth
@@ -473,7 +475,7 @@
 		return true
 	}
 	cores, memory := p.free(m)
-	holes := max(1, min(cores/t.Cores, memory/t.Memory))
+	holes := max(1, min(cores/max(t.Cores, 1e-9), memory/max(t.Memory, 1e-9)))
 	slot := mix(m.hash + uint64((p.now+time.Duration(m.hash%uint64(roomSlot)))/roomSlot))
 	return share(mix(slot^uint64(p.set.Self)))*float64(p.set.Placers) < holes
 }
@@ -662,26 +664,15 @@
 	}
 }
 
-// tell lets the others know what room our tasks took and left where, and with what program, as
-// long as the price for all receivers is small beside what it can save.
-func (p *Placer) tell() {
-	for _, data := range packNews(p.news) {
-		p.do(Tell{To: Everyone, Data: data})
-	}
-	p.news = p.news[:0]
+// knowsRooms says whether the view and what placers tell leave little that others took unseen. News
+// of rooms is told where its price is small, whatever the number of placers: both it and the
+// reading of it grow with them.
+func (p *Placer) knowsRooms() bool {
+	price := 2 * newsShare * p.set.Prices.Tell * float64(p.set.Placers-1)
+	return p.set.Placers == 1 || p.set.MayTell && price <= newsPrice
 }
 
-// knowsRooms says whether the view and what we are told leave little that others took unseen.
-func (p *Placer) knowsRooms() bool { return p.set.Placers == 1 || p.tellsRoom() }
-
-// tellsRoom says whether news of rooms is worth its price. It guards against a cost in messages and
-// in their reading that grows with the placers.
-func (p *Placer) tellsRoom() bool {
-	return p.set.MayTell && p.set.Placers > 1 &&
-		2*newsShare*p.set.Prices.Tell*float64(p.set.Placers-1) <= newsPrice
-}
-
-// told takes such a message: until the view knows, it counts like our own changes. It guards
+// told takes a message: until the view knows, it counts like our own changes. It guards
 // against placers that all see the same room and fill it at once. A lost message costs a
 // refusal, or hides some room until the view is newer.
 func (p *Placer) told(data []byte) {
@@ -693,7 +684,7 @@
 	}
 	for _, item := range unpackNews(data) {
 		m := p.machines[item.machine]
-		if m == nil || !p.tellsRoom() {
+		if m == nil || !p.knowsRooms() {
 			continue
 		}
 		m.keep(item.program)
@@ -912,17 +903,9 @@
 		m.suspectUntil = p.now + rest
 		if p.set.MayProbe {
 			m.failures++
-			p.setTimer(timerSuspect, uint32(m.ID), rest)
+			p.setTimer(timerSuspect, uint32(m.ID), p.jitter(rest))
 		}
 	}
 }
 
 func (p *Placer) wellSeen(m *machine) { m.failures, m.suspectUntil, m.answeredAt = 0, 0, p.now }
-
-// report takes a load report as a fresher view where the list shows no free amounts.
-func (p *Placer) report(m *machine, r *Report) {
-	if r == nil || p.set.ListsFree || !p.set.ReportsAsked || !(math.Abs(r.Cores+r.Memory) < 1e12) {
-		return
-	}
-	m.FreeCores, m.FreeMemory, m.viewAt, m.stale = r.Cores, r.Memory, p.now, true
-}
--- a/state.go
+++ b/state.go
@@ -332,7 +332,7 @@
 
 // changedRoom notes a change for the others; the attempt's machine takes or frees its task's room.
 func (p *Placer) changedRoom(a *attempt, sign float64) {
-	if p.tellsRoom() {
+	if p.set.Placers > 1 && p.knowsRooms() {
 		p.news = append(p.news, news{
 			program: program(a.task.Service), machine: a.machine.ID,
 			cores: sign * a.task.Cores, memory: sign * a.task.Memory,
@@ -378,3 +378,11 @@
 	}
 	return slices.Contains(m.kept, program(service))
 }
+
+// report takes a load report as a fresher view where the list shows no free amounts.
+func (p *Placer) report(m *machine, r *Report) {
+	if r == nil || p.set.ListsFree || !p.set.ReportsAsked || !(math.Abs(r.Cores+r.Memory) < 1e12) {
+		return
+	}
+	m.FreeCores, m.FreeMemory, m.viewAt, m.stale = r.Cores, r.Memory, p.now, true
+}
