--- a/placer.go
+++ b/placer.go
@@ -22,8 +22,7 @@
 	minIntervals, maxIntervals = 2, 4
 	// Sizes are forgotten by the count of later ones, so that a placer that sees few tasks keeps them.
 	manySizes = 1000
-	// The told mean weighs as much as so many tasks of mean size.
-	toldSizes = 30
+	toldSizes = 30 // the told mean weighs as much as so many tasks of mean size
 	// Two machines are drawn for a service, so that its program stays present on both.
 	handful = 2
 	// Fits closer than this, as shares of a machine, are the same by a late view.
@@ -36,12 +35,11 @@
 	// Programs that a machine is taken to keep after the last task of a service. Too many costs
 	// nothing: where the program is gone after all, a start is as slow as anywhere else.
 	keptPrograms = 16
-	// What tasks use of what they ask, until notes tell.
-	guessedUse = 0.8
-	// Memory in use above this share slows a machine and then evicts.
-	memoryCalm = 0.88
+	guessedUse   = 0.8  // what tasks use of what they ask, until notes tell
+	memoryCalm   = 0.88 // memory in use above this share slows a machine and then evicts
 	// An attempt without an answer for this long gets its machine probed.
-	patience = 700 * time.Millisecond
+	patience  = 700 * time.Millisecond
+	probeRest = 3 * patience // where placers are many, one that has answered since is left alone
 	// A task that gets less than this is moved where one of the first needs finds another machine.
 	moveBelow   = 0.5
 	moveNeeds   = 2
@@ -55,13 +53,10 @@
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
 	// Slots in a window over which offers to a cold machine count: with more, a slot holds no offer.
-	coldSlots = 3
-	// Lots for room hold this long: about a view's lag.
-	roomSlot = time.Second
-	// What a refusal tells of a machine's room holds until the view knows, or this long.
-	refusalHolds = 4 * time.Second
-	// A machine with a full line of offers gets nothing new for this long.
-	lineRest = 300 * time.Millisecond
+	coldSlots    = 3
+	roomSlot     = time.Second            // lots for room hold this long: about a view's lag
+	refusalHolds = 4 * time.Second        // what a refusal tells of room holds until the view knows, or this long
+	lineRest     = 300 * time.Millisecond // a machine with a full line of offers gets nothing for this long
 	// A start in time is worth about as much as the half of a task's run that is left on average.
 	timelyWorth = 1.5
 	// A placer's part of a tenant's share is this many tasks at least: fewer come by chance.
@@ -71,10 +66,9 @@
 	newsPrice = 0.005
 	newsMost  = 500 // pieces of news of a machine: more are a flood
 	// Waiting tasks are tried again this often, beside each time that something changes.
-	retryEvery = 50 * time.Millisecond
-	// A task is ended this long before its owner gives up: a tick or two.
-	deadlineMargin = 5 * time.Millisecond
-	listTrouble    = 5 // failed calls for the list in a row that are worth a page
+	retryEvery     = 50 * time.Millisecond
+	deadlineMargin = 5 * time.Millisecond // before its owner gives up, a tick or two, a task is ended
+	listTrouble    = 5                    // failed calls for the list in a row that are worth a page
 	// The pause after a failed call, doubled each time, and what each placer adds to the spread of
 	// all calls: the list is one service, which takes a few dozen calls a second.
 	askFirst = 300 * time.Millisecond
@@ -836,7 +830,9 @@
 		p.do(Withdraw{Task: t.ID, Attempt: a.number})
 		return
 	}
-	p.probe(m)
+	if p.knowsRooms() || m.answeredAt <= a.sentAt || p.now > m.answeredAt+probeRest {
+		p.probe(m)
+	}
 	p.setTimer(timerPatience, uint32(t.ID), patience)
 }
 
