--- a/placer.go
+++ b/placer.go
@@ -40,6 +40,11 @@
 	// An attempt without an answer for this long gets its machine probed.
 	patience  = 700 * time.Millisecond
 	probeRest = 3 * patience // where placers are many, one that has answered since is left alone
+	// A note that a task gets less than this share of full service takes a step off what its machine
+	// is given, up to the most; all of it comes back in easeBack.
+	wellServed         = 0.9
+	easeStep, easeMost = 0.06, 0.4
+	easeBack           = 90 * time.Second
 	// A task that gets less than this is moved where one of the first needs finds another machine.
 	moveBelow   = 0.5
 	moveNeeds   = 2
@@ -55,7 +60,7 @@
 	// Slots in a window over which offers to a cold machine count: with more, a slot holds no offer.
 	coldSlots    = 3
 	roomSlot     = time.Second            // lots for room hold this long: about a view's lag
-	refusalHolds = 4 * time.Second        // what a refusal tells of room holds until the view knows, or this long
+	refusalHolds = 4 * time.Second        // what a refusal tells of room holds this long at most
 	lineRest     = 300 * time.Millisecond // a machine with a full line of offers gets nothing for this long
 	// A start in time is worth about as much as the half of a task's run that is left on average.
 	timelyWorth = 1.5
@@ -625,7 +630,7 @@
 		if p.isCold(m) && m.starting > 0 {
 			return false
 		}
-		topCores = min(topCores, p.calm/p.cores.ratio())
+		topCores = min(topCores, p.calm/p.cores.ratio()) * m.easy(p.now)
 	}
 	topMemory = min(topMemory, memoryCalm/p.memory.ratio())
 	cores, memory := p.free(m)
@@ -643,6 +648,12 @@
 	return t.Cores <= cores+kind.Cores*(topCores-1) && t.Memory <= memory+kind.Memory*(topMemory-1)
 }
 
+// easy is the share of its usual tasks that a machine is given: less once its tasks were served
+// poorly, whatever the cause, and all again in easeBack. It may hurt where service swings.
+func (m *machine) easy(now time.Duration) float64 {
+	return 1 - max(0, m.eased-float64(now-m.easedAt)/float64(easeBack))
+}
+
 // left is what the task would leave free, cores and memory each as a share of the machine.
 func (p *Placer) left(t *task, m *machine) float64 {
 	cores, memory := p.free(m)
@@ -729,20 +740,11 @@
 	}
 }
 
-func (p *Placer) note(ev Note) {
-	a := p.live(ev.Task, ev.Attempt)
-	if a == nil || !(ev.Amount >= 0) || math.IsInf(ev.Amount, 0) {
-		return
-	}
-	switch ev.Kind {
-	case NoteRuns:
-		p.runs(a)
-	case NoteServed:
-		p.moveAway(a, ev.Amount)
-	case NoteCores:
-		p.cores.learn(ev.Amount, a.task.Cores)
-	case NoteMemory:
-		p.memory.learn(ev.Amount, a.task.Memory)
+// served takes in the share of full service that a task gets.
+func (p *Placer) served(a *attempt, share float64) {
+	if m := a.machine; share < wellServed {
+		m.eased, m.easedAt = min(1-m.easy(p.now)+easeStep, easeMost), p.now
+		p.moveAway(a, share)
 	}
 }
 
@@ -880,16 +882,6 @@
 	}
 }
 
-func (p *Placer) probed(ev Probed) {
-	m := p.machines[ev.Machine]
-	if m == nil {
-		return
-	}
-	m.probing = false
-	p.report(m, ev.Report)
-	p.health(m, ev.Result)
-}
-
 func (p *Placer) health(m *machine, r Result) {
 	switch r {
 	case OK, Full:
--- a/state.go
+++ b/state.go
@@ -76,6 +76,8 @@
 
 type machine struct {
 	Machine
+	eased        float64 // taken off what it is given
+	easedAt      time.Duration
 	hash         uint64 // of its id
 	viewAt       time.Duration
 	ownCores     float64 // asked for by our live attempts here
@@ -220,6 +222,35 @@
 	return p, nil
 }
 
+// note takes in what is told of a running task.
+func (p *Placer) note(ev Note) {
+	a := p.live(ev.Task, ev.Attempt)
+	if a == nil || !(ev.Amount >= 0) || math.IsInf(ev.Amount, 0) {
+		return
+	}
+	switch ev.Kind {
+	case NoteRuns:
+		p.runs(a)
+	case NoteServed:
+		p.served(a, ev.Amount)
+	case NoteCores:
+		p.cores.learn(ev.Amount, a.task.Cores)
+	case NoteMemory:
+		p.memory.learn(ev.Amount, a.task.Memory)
+	}
+}
+
+// probed takes in the answer to a probe.
+func (p *Placer) probed(ev Probed) {
+	m := p.machines[ev.Machine]
+	if m == nil {
+		return
+	}
+	m.probing = false
+	p.report(m, ev.Report)
+	p.health(m, ev.Result)
+}
+
 // mix is a fixed hash, the same at every placer.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
