Two intervals and nearly always the service's hash where placers are many

Cause: of starts at the later sites a quarter to a half find no program, as each placer knows its own few only; busiest machines hold 4 to 7 times the mean. Few placers go as before.

--- a/design_test.go
+++ b/design_test.go
@@ -141,7 +141,7 @@
 // ids returns the groups of kind 0.
 func ids(p *Placer) [][]MachineID {
 	pl := p.pools[0]
-	n := pl.intervals()
+	n := p.intervals(pl)
 	var out [][]MachineID
 	for i := range n {
 		var group []MachineID
--- a/placer.go
+++ b/placer.go
@@ -17,16 +17,16 @@
 const (
 	// A group of three still leaves a choice when one machine is full and one drains.
 	machinesPerGroup = 3
-	// Two intervals at least, so that large tasks keep a group of their own; few at most, so that
-	// placers whose thresholds differ a little still mean the same group.
+	// Two intervals at least, so that large tasks keep a group of their own; few at most, and two where
+	// placers are many: those whose thresholds differ a little still mean the same group.
 	minIntervals, maxIntervals = 2, 4
 	// Sizes are forgotten by the count of later ones, so that a placer that sees few tasks keeps them.
 	manySizes = 1000
 	toldSizes = 30 // the told mean weighs as much as so many tasks of mean size
 	// Two machines are drawn for a service, so that its program stays present on both.
 	handful = 2
-	// Fits closer than this, as shares of a machine, are the same by a late view.
-	fitStep  = 0.3
+	// Fits closer than this, cores and memory as shares of a machine, are the same by a late view.
+	fitStep  = 1.0
 	firstLag = 2 // the place in lags to begin with: a second
 	// Ended attempts are remembered this long for a view that is later still.
 	viewMemory = 10 * time.Second
@@ -233,9 +233,12 @@
 	return min(below/(told+h.total), math.Nextafter(1, 0))
 }
 
-func (pl *pool) intervals() int {
-	n := len(pl.order)
-	return min(n, max(minIntervals, min(maxIntervals, (n+machinesPerGroup/2)/machinesPerGroup)))
+func (p *Placer) intervals(pl *pool) int {
+	n, most := len(pl.order), maxIntervals
+	if !p.knowsRooms() {
+		most = minIntervals
+	}
+	return min(n, max(minIntervals, min(most, (n+machinesPerGroup/2)/machinesPerGroup)))
 }
 
 // poolOf picks the kind: the one its class needs, else by the service's hash in proportion to cores.
@@ -409,7 +412,7 @@
 
 func (p *Placer) chooseIn(t *task, kind int, want need) *machine {
 	pl := p.pools[kind]
-	n := pl.intervals()
+	n := p.intervals(pl)
 	if n == 0 {
 		return nil
 	}
