--- a/placer.go
+++ b/placer.go
@@ -24,9 +24,7 @@
 	manySizes = 1000
 	toldSizes = 30 // the told mean weighs as much as so many tasks of mean size
 	// Two machines are drawn for a service, so that its program stays present on both.
-	handful = 2
-	// Fits closer than this, cores and memory as shares of a machine, are the same by a late view.
-	fitStep  = 1.0
+	handful  = 2
 	firstLag = 2 // the place in lags to begin with: a second
 	// Ended attempts are remembered this long for a view that is later still.
 	viewMemory = 10 * time.Second
@@ -432,17 +430,13 @@
 	return nil
 }
 
-// pick draws a handful of the group's machines with room, those that hold the service's program if
-// any do, and takes the tightest fit. The handful and ties go by the service's hash, so that all
-// placers bring one program to the same machines; fits that differ by less than a late view can
-// tell are ties.
+// pick draws a handful of the group's machines with room, or all that hold the service's program if
+// any do, and takes the tightest fit. The handful goes by the service's hash, so that all placers
+// bring one program to the same machines. Where placers are many and a late view tells little of
+// the fit, the first by the hash is all that is drawn.
 func (p *Placer) pick(t *task, group []*machine, want need) *machine {
-	step := fitStep
-	if p.knowsRooms() {
-		step = 0
-	}
 	p.drawn = p.drawn[:0]
-	warm := want.warm
+	warm, many := want.warm, !p.knowsRooms()
 	for _, m := range group {
 		if !p.allowed(t, m) || !p.fits(t, m, want) || !p.hasTurn(t, m) {
 			continue
@@ -456,13 +450,16 @@
 		for at > 0 && m.rank(t.Service) < p.drawn[at-1].rank(t.Service) {
 			at--
 		}
-		if p.drawn = slices.Insert(p.drawn, at, m); !warm && len(p.drawn) > handful {
-			p.drawn = p.drawn[:handful]
+		p.drawn = slices.Insert(p.drawn, at, m)
+		if many {
+			p.drawn = p.drawn[:1]
+		} else if !warm {
+			p.drawn = p.drawn[:min(len(p.drawn), handful)]
 		}
 	}
 	var best *machine
 	for _, m := range p.drawn {
-		if best == nil || p.left(t, m) < p.left(t, best)-step {
+		if best == nil || p.left(t, m) < p.left(t, best) {
 			best = m
 		}
 	}
