--- a/fleet_test.go
+++ b/fleet_test.go
@@ -326,3 +326,53 @@
 		})
 	}
 }
+
+// All placers once offered into the one hole that a late view showed.
+func TestLotsLetAboutAsManyOfferAsFit(t *testing.T) {
+	set := testSettings()
+	machine := fleet(1)[0]
+	machine.FreeCores, machine.FreeMemory = 4, 8
+	all := placers(t, set, 400)
+	refused := &task{Task: Task{Cores: 1, Memory: 1}, attempts: make([]*attempt, 2)}
+	fresh := &task{Task: Task{Cores: 1, Memory: 1}}
+	turns := 0
+	for second := range 20 {
+		now, most := time.Hour+time.Duration(second)*roomSlot, 0
+		for _, p := range all {
+			p.Step(now, []Event{Update{Mode: ListFull, Machines: []Machine{machine}}})
+			if p.hasTurn(refused, p.machines[1]) {
+				most++
+			}
+			if !p.hasTurn(fresh, p.machines[1]) {
+				t.Fatal("a task that was not turned away has to draw lots")
+			}
+		}
+		if turns += most; most > 15 {
+			t.Errorf("%d placers may offer into room for 4 tasks", most)
+		}
+	}
+	if turns < 40 || turns > 120 {
+		t.Errorf("%d turns in 20 s with room for 4 tasks, about 80 wanted", turns)
+	}
+}
+
+// Placers that see different free room once brought one program to many machines.
+func TestManyPlacersBringAServiceToOneMachine(t *testing.T) {
+	used := map[MachineID]bool{}
+	for i, p := range placers(t, testSettings(), 130) {
+		machines := fleet(20)
+		for k := range machines {
+			machines[k].FreeCores = 3 + float64((i*7+k*3)%5)
+		}
+		actions := p.Step(time.Hour, []Event{
+			Update{Mode: ListSaved, Machines: machines},
+			Arrival{Task: Task{ID: 1, Service: 42, Wait: time.Second, Cores: 1, Memory: 1}},
+		})
+		for _, o := range only[Offer](actions) {
+			used[o.Machine] = true
+		}
+	}
+	if len(used) != 1 {
+		t.Errorf("130 placers bring one service to %d machines, want 1", len(used))
+	}
+}
