--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -133,3 +133,28 @@
 		t.Errorf("after its teardown: %v", err)
 	}
 }
+
+// One bad record among several hundred instances ends the run with one plain line.
+func TestBadInputAmongManyInstances(t *testing.T) {
+	const placers = 470
+	many := strings.Replace(info, `"balancers": 2`, `"balancers": 470`, 1)
+	var first, second [][]byte
+	for p := range uint32(placers) {
+		first = append(first, boot(p, strings.Replace(many, `"me": 0`, fmt.Sprintf(`"me": %d`, p), 1)))
+		second = append(second, ask(p, p))
+	}
+	good := append(batch(1000, first...), batch(1002, second...)...)
+	if err := run(bytes.NewReader(good), &bytes.Buffer{}); err != nil {
+		t.Fatal(err)
+	}
+	for want, bad := range map[string][]byte{
+		"has not been started": batch(1004, append(second, ask(placers, 1))...),
+		"Self":                 batch(1004, boot(1, strings.Replace(many, `"me": 0`, `"me": 470`, 1))),
+		"input ends":           batch(1004, second...)[:999],
+	} {
+		err := run(bytes.NewReader(append(bytes.Clone(good), bad...)), &bytes.Buffer{})
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("error %v, want one line with %q", err, want)
+		}
+	}
+}
--- a/random_test.go
+++ b/random_test.go
@@ -263,6 +263,13 @@
 		if rng.IntN(20) == 0 {
 			events = append(events, flap(rng, machines, now))
 		}
+		if rng.IntN(5) == 0 { // a message, whole or broken, true or not
+			data := packAil(machines[rng.IntN(len(machines))].ID, rng.IntN(4))
+			if rng.IntN(2) == 0 {
+				data = packNews([]news{{machine: machines[0].ID, cores: rng.Float64() - 0.5, memory: rng.Float64()}})[0]
+			}
+			events = append(events, Told{From: rng.IntN(3), Data: data[:rng.IntN(len(data)+1)]})
+		}
 		ids := make([]TaskID, 0, len(c.tasks))
 		for id := range c.tasks {
 			ids = append(ids, id)
