Labels a task needs and limits of its service's own, in the module

Need: service descriptions carry constraints and limits of their own, and the module must rule on them like on all else. A task names the labels its machine must carry (one a bit) and limits beside its class's; machines carry labels.

--- a/api.go
+++ b/api.go
@@ -133,9 +133,14 @@
 	Life    time.Duration // how long it will still run, roughly; 0 if not told
 	Cores   float64
 	Memory  float64
-	Again   bool // it came before
+	Again   bool   // it came before
+	Needs   uint64 // labels that its machine must carry, one a bit; 0: none
+	Most    Limits // limits of its service's own, beside its class's
 }
 
+// Limits are the most tasks of one service in one place of each sort; 0: no limit.
+type Limits [InZone + 1]int
+
 // State is what the list says of a machine.
 type State uint8
 
@@ -156,6 +161,7 @@
 	Started    time.Duration // latest start; 0 if long past
 	FreeCores  float64       // not asked for, late
 	FreeMemory float64
+	Labels     uint64 // what it carries of the labels that tasks may need
 }
 
 // Report is a machine's load report. Fields that are not reported are NaN.
--- /dev/null
+++ b/internal/compose/elements.go
@@ -0,0 +1,200 @@
+package compose
+
+// treatment says what becomes of an element.
+type treatment uint8
+
+const (
+	honoured treatment = iota // bears on placing, restarting or updating here
+	passed                    // carried to the host in the task's payload, acted on there
+	noted                     // of no meaning for a cluster of hosts: said in a note
+	refused                   // cannot be kept: an error
+)
+
+func (t treatment) String() string {
+	return [...]string{"honoured", "passed to the host", "noted", "refused"}[t]
+}
+
+// element is a row of docs/compose.md. The parser goes by this table, and a test holds the
+// page against it, so neither can say what the other does not do.
+type element struct {
+	name   string
+	what   treatment
+	remark string
+}
+
+var topElements = []element{
+	{"name", honoured, "the project's name; `--project` and `?project=` come before it"},
+	{"services", honoured, ""},
+	{"version", noted, "obsolete by the specification"},
+	{"networks", passed, "each service's payload carries those it names"},
+	{"volumes", passed, "each service's payload carries those it names"},
+	{"configs", passed, "each service's payload carries those it names"},
+	{"secrets", passed, "each service's payload carries those it names"},
+	{"models", refused, "no host offers models"},
+	{"include", refused, "give the files together: `submit A B`"},
+}
+
+var serviceElements = []element{
+	{"annotations", passed, ""},
+	{"attach", noted, "concerns a terminal"},
+	{"blkio_config", passed, ""},
+	{"build", noted, "images are built elsewhere; `image` says what runs"},
+	{"cap_add", passed, ""},
+	{"cap_drop", passed, ""},
+	{"cgroup", passed, ""},
+	{"cgroup_parent", passed, ""},
+	{"command", passed, ""},
+	{"configs", passed, ""},
+	{"container_name", honoured, "the service can then have one task only"},
+	{"cpu_count", passed, ""},
+	{"cpu_percent", passed, ""},
+	{"cpu_period", passed, ""},
+	{"cpu_quota", passed, ""},
+	{"cpu_rt_period", passed, ""},
+	{"cpu_rt_runtime", passed, ""},
+	{"cpu_shares", passed, ""},
+	{"cpus", honoured, "as `deploy.resources.limits.cpus`"},
+	{"cpuset", passed, ""},
+	{"credential_spec", passed, ""},
+	{"depends_on", honoured, "`service_healthy` is reached when the tasks run: hosts tell no more"},
+	{"deploy", honoured, "see below"},
+	{"develop", noted, "concerns a developer's machine"},
+	{"device_cgroup_rules", passed, ""},
+	{"devices", passed, ""},
+	{"dns", passed, ""},
+	{"dns_opt", passed, ""},
+	{"dns_search", passed, ""},
+	{"domainname", passed, ""},
+	{"driver_opts", passed, ""},
+	{"entrypoint", passed, ""},
+	{"env_file", honoured, "files given with the submission are read into `environment`"},
+	{"environment", passed, "a name without a value takes that of the variable"},
+	{"expose", passed, ""},
+	{"extends", honoured, "from the same file, or a file given with the submission"},
+	{"external_links", passed, ""},
+	{"extra_hosts", passed, ""},
+	{"gpus", refused, "no kind of host offers them"},
+	{"group_add", passed, ""},
+	{"healthcheck", passed, ""},
+	{"hostname", passed, ""},
+	{"image", passed, ""},
+	{"init", passed, ""},
+	{"ipc", honoured, "`service:NAME` is refused, all else is passed to the host"},
+	{"isolation", passed, ""},
+	{"label_file", honoured, "files given with the submission are read into `labels`"},
+	{"labels", passed, "of the task"},
+	{"links", passed, ""},
+	{"logging", passed, ""},
+	{"mac_address", passed, ""},
+	{"mem_limit", honoured, "as `deploy.resources.limits.memory`"},
+	{"mem_reservation", honoured, "as `deploy.resources.reservations.memory`"},
+	{"mem_swappiness", passed, ""},
+	{"memswap_limit", passed, ""},
+	{"models", refused, "no host offers models"},
+	{"network_mode", honoured, "`service:NAME` and `container:NAME` are refused, all else is passed to the host"},
+	{"networks", passed, ""},
+	{"oom_kill_disable", passed, ""},
+	{"oom_score_adj", passed, ""},
+	{"pid", honoured, "`service:NAME` and `container:NAME` are refused, all else is passed to the host"},
+	{"pids_limit", passed, ""},
+	{"platform", honoured, "as constraints on `node.platform.os` and `node.platform.arch`"},
+	{"ports", honoured, "`mode: host` with a published port: one task a host; all else is passed to the host"},
+	{"post_start", passed, ""},
+	{"pre_stop", passed, ""},
+	{"privileged", passed, ""},
+	{"profiles", honoured, ""},
+	{"provider", refused, "no provider can be started here"},
+	{"pull_policy", passed, ""},
+	{"read_only", passed, ""},
+	{"restart", honoured, "where `deploy.restart_policy` says nothing"},
+	{"runtime", passed, ""},
+	{"scale", honoured, "must agree with `deploy.replicas`"},
+	{"secrets", passed, ""},
+	{"security_opt", passed, ""},
+	{"shm_size", passed, ""},
+	{"stdin_open", passed, ""},
+	{"stop_grace_period", honoured, "given to the host with a stop"},
+	{"stop_signal", passed, ""},
+	{"storage_opt", passed, ""},
+	{"sysctls", passed, ""},
+	{"tmpfs", passed, ""},
+	{"tty", passed, ""},
+	{"ulimits", passed, ""},
+	{"use_api_socket", refused, "a task gets no access to the engine of its host"},
+	{"user", passed, ""},
+	{"userns_mode", passed, ""},
+	{"uts", passed, ""},
+	{"volumes", passed, ""},
+	{"volumes_from", refused, "would tie two services to one host"},
+	{"working_dir", passed, ""},
+}
+
+var deployElements = []element{
+	{"endpoint_mode", passed, ""},
+	{"labels", honoured, "of the service"},
+	{"mode", honoured, "`global` follows the hosts that are ready when it is submitted"},
+	{"placement.constraints", honoured, "`node.id`, `node.hostname`, `node.role`, `node.platform.os`, `node.platform.arch`, `node.labels.*`; `engine.labels.*` is refused"},
+	{"placement.preferences", honoured, "`spread` over `node.labels.zone` or `node.labels.rack`: a limit at the first ask, dropped when it cannot be kept"},
+	{"placement.max_replicas_per_node", honoured, "a limit that is never passed"},
+	{"replicas", honoured, "default 1"},
+	{"resources.limits.cpus", honoured, "told to the host; reserved too where nothing else is"},
+	{"resources.limits.memory", honoured, "told to the host; reserved too where nothing else is"},
+	{"resources.limits.pids", passed, ""},
+	{"resources.reservations.cpus", honoured, "what placing goes by; default the limit, else 0.25"},
+	{"resources.reservations.memory", honoured, "what placing goes by; default the limit, else 256 MiB"},
+	{"resources.reservations.devices", refused, "no kind of host offers them"},
+	{"resources.reservations.generic_resources", refused, "no kind of host offers them"},
+	{"restart_policy", honoured, "`condition`, `delay`, `max_attempts`, `window`"},
+	{"rollback_config", passed, "an update that fails goes back all at once"},
+	{"update_config", honoured, "`parallelism`, `delay`, `failure_action`, `monitor`, `max_failure_ratio`, `order`"},
+}
+
+var ownElements = []element{
+	{"class", honoured, "a class of the settings; default the settings' `default-class`"},
+	{"tenant", honoured, "a tenant of the settings; default none"},
+	{"life", honoured, "how long a task runs, roughly"},
+	{"wait", honoured, "one ask is given up after this; default the class's"},
+	{"patience", honoured, "the task is asked for, again and again, for so long; default the class's"},
+	{"spread", honoured, "`machine`, `rack`, `zone`: the most tasks of the service in one; the class's limit holds beside it"},
+}
+
+// Defaults of what a task reserves where the description says nothing.
+const (
+	defaultCores  = 0.25
+	defaultMemory = 0.25 // GiB
+)
+
+func index(elements []element) map[string]element {
+	m := make(map[string]element, len(elements))
+	for _, e := range elements {
+		m[e.name] = e
+	}
+	return m
+}
+
+var (
+	topIndex     = index(topElements)
+	serviceIndex = index(serviceElements)
+	deployIndex  = index(deployElements)
+	ownIndex     = index(ownElements)
+)
+
+// Table writes the rows of docs/compose.md.
+func Table() string {
+	out := ""
+	for _, part := range []struct {
+		title, prefix string
+		rows          []element
+	}{
+		{"Top level", "", topElements},
+		{"Services", "services.*.", serviceElements},
+		{"Deploy", "services.*.deploy.", deployElements},
+		{"x-forkhead", "x-forkhead.", ownElements},
+	} {
+		out += "\n## " + part.title + "\n\n| element | treatment | remark |\n| --- | --- | --- |\n"
+		for _, e := range part.rows {
+			out += "| `" + part.prefix + e.name + "` | " + e.what.String() + " | " + e.remark + " |\n"
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,489 @@
+// Package settings reads a placer's settings, S-expressions, and checks every field.
+package settings
+
+import (
+	_ "embed"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/sexp"
+	"forkhead/internal/source"
+)
+
+// Default is the text of the settings that hold where a user gives none.
+//
+//go:embed default.sexp
+var Default []byte
+
+// Settings are what a placer service is told when it starts. Figures that the module rules by
+// are in Module and are passed on as they stand; Self and Zone are set by For.
+type Settings struct {
+	Module  forkhead.Settings
+	Kinds   []string // names, by place in Module.Kinds
+	Classes []Class  // names and waits, by place in Module.Classes
+	Tenants []string // names, by place in Module.Tenants
+
+	DefaultClass int
+
+	Placers   []Placer
+	Catalogue Catalogue
+	Owner     Owner
+	Links     Links
+	Limits    Limits
+}
+
+// Class is what the service knows of a class beside what the module does.
+type Class struct {
+	Name     string
+	Wait     time.Duration // an ask is given up after this
+	Patience time.Duration // a task is asked for, again and again, for so long
+}
+
+// Placer is one placer of the service.
+type Placer struct {
+	Zone string
+	HTTP string // address of its front
+	Tell string // UDP address for messages between placers
+}
+
+// Catalogue says where the list of hosts comes from.
+type Catalogue struct {
+	Address string
+	Service string        // name under which hosts are registered
+	Wait    time.Duration // longest a blocking query is held
+	Timeout time.Duration // beyond Wait; then the query has failed
+}
+
+// Owner says how a task that was refused, failed, moved or lost is asked for again.
+type Owner struct {
+	First time.Duration // mean wait after the first refusal
+	Most  time.Duration // waits double up to this
+	Soon  time.Duration // mean wait after a move or loss
+	Asks  int           // asks for one outcome
+	Lives int           // times that a placed task is placed anew
+}
+
+// Links says how connections to hosts are kept.
+type Links struct {
+	Connect   time.Duration // no connection within it: it has failed
+	First     time.Duration // mean wait before the first reconnect
+	Most      time.Duration // waits double up to this
+	LostAfter time.Duration // a host that is gone for so long has lost its tasks, where a repeat is harmless
+	Probe     time.Duration // a probe without an answer for so long has failed
+}
+
+// Limits bound memory and work. What happens at each is in docs/ops/placer.md.
+type Limits struct {
+	Body        int           // bytes of a submission
+	Tasks       int           // tasks that one placer holds
+	PerSubmit   int           // tasks of one submission
+	Submissions int           // submissions remembered
+	Keep        time.Duration // how long a finished submission can be read again
+	Connections int           // to the front
+	Buffer      int           // bytes waiting for one reader
+	Hosts       int           // hosts in the list
+	Label       int           // different placement constraints at once
+}
+
+// Read parses and checks a file of settings. The error lists all faults with their places.
+func Read(file string, text []byte) (*Settings, error) {
+	nodes, err := sexp.Parse(file, text)
+	if err != nil {
+		return nil, err
+	}
+	if len(nodes) != 1 || nodes[0].Head() != "forkhead" {
+		pos := source.Pos{File: file, Line: 1, Col: 1}
+		if len(nodes) > 0 {
+			pos = nodes[min(len(nodes), 2)-1].Pos
+		}
+		return nil, source.Wantf(pos, "one (forkhead ...)", "the file holds something else")
+	}
+	return FromNode(nodes[0])
+}
+
+// FromNode reads settings from a (forkhead ...) list that stands in a larger file.
+func FromNode(n *sexp.Node) (*Settings, error) {
+	s := &Settings{}
+	errs := &source.List{}
+	r := reader{s: s, errs: errs}
+	r.defaults()
+	r.read(n)
+	if err := errs.Err(); err != nil {
+		return nil, err
+	}
+	if _, err := forkhead.New(s.For(0).Module, 0); err != nil {
+		return nil, source.Errorf(n.Pos, "%s", strings.TrimPrefix(err.Error(), "forkhead: "))
+	}
+	return s, nil
+}
+
+// For returns the settings of one placer: Module.Self and Module.Placers are set.
+func (s *Settings) For(self int) *Settings {
+	c := *s
+	c.Module.Self, c.Module.Placers = self, len(s.Placers)
+	return &c
+}
+
+// Class returns the place of a class by name.
+func (s *Settings) Class(name string) (int, bool) {
+	for i, c := range s.Classes {
+		if c.Name == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Index returns the place of a name in a list, or -1.
+func Index(names []string, name string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+type reader struct {
+	s          *Settings
+	errs       *source.List
+	classKinds []wantKind
+}
+
+// wantKind is a class's kind, looked up once all kinds are read.
+type wantKind struct {
+	class int
+	name  *sexp.Node
+}
+
+func (r *reader) defaults() {
+	r.s.Module = forkhead.Settings{
+		AcceptCores: 1, AcceptMemory: 1, BoundWhenRunning: false, ListsFree: true, ReportsAsked: true,
+		ReportsInAnswers: true, ReportsInProbes: true, TellsUse: true, TellsPressure: true,
+		MaxAttempts: 4, MayWithdraw: true, MayProbe: true, MayTell: true,
+		OwnerWait: 3 * time.Second, MaxRetryAfter: 3 * time.Second, ConnectTimeout: 250 * time.Millisecond,
+		AnswerSlack: 10 * time.Millisecond, DrainGrace: 250 * time.Millisecond, MustAskWithin: 10 * time.Second,
+		ColdFor: 10 * time.Second, ColdWindow: time.Second, ColdOffers: 20, ColdFrom: 0.2, ColdMultiple: 4,
+		OverShareWorth: 0.2,
+		Prices: forkhead.Prices{
+			Machine: 0.15, Move: 0.05, Evict: 2, Refusal: 0.02, Waste: 0.05, Probe: 0.003, Tell: 0.01, List: 0.004,
+		},
+	}
+	r.s.DefaultClass = 0
+	r.s.Catalogue = Catalogue{
+		Address: "127.0.0.1:8500", Service: "forkhead-host", Wait: 10 * time.Second, Timeout: 2 * time.Second,
+	}
+	r.s.Owner = Owner{First: time.Second, Most: 15 * time.Second, Soon: 100 * time.Millisecond, Asks: 100, Lives: 1000}
+	r.s.Links = Links{
+		Connect: time.Second, First: 100 * time.Millisecond, Most: 3 * time.Second, LostAfter: 3 * time.Second,
+		Probe: time.Second,
+	}
+	r.s.Limits = Limits{
+		Body: 1 << 20, Tasks: 100_000, PerSubmit: 10_000, Submissions: 10_000, Keep: 10 * time.Minute,
+		Connections: 1000, Buffer: 4 << 20, Hosts: 10_000, Label: 64,
+	}
+}
+
+const (
+	long = 24 * time.Hour
+	most = 1e9
+)
+
+func (r *reader) read(n *sexp.Node) {
+	m := &r.s.Module
+	var defaultClass *sexp.Node
+	sexp.Fields(n.Args(), map[string]sexp.Field{
+		"placer": r.placer,
+		"kind":   r.kind,
+		"class":  r.class,
+		"tenant": r.tenant,
+		"default-class": sexp.One(func(v *sexp.Node) error {
+			defaultClass = v
+			_, err := v.Word()
+			return err
+		}),
+		"mean-cores":  sexp.Number(&m.MeanCores, 1e-3, 1e4),
+		"mean-memory": r.memory(&m.MeanMemory),
+		"accept":      r.group(map[string]sexp.Field{"cores": sexp.Number(&m.AcceptCores, 0.1, 10), "memory": sexp.Number(&m.AcceptMemory, 0.1, 10)}),
+		"bound":       sexp.Choice(&m.BoundWhenRunning, map[string]bool{"accepted": false, "running": true}),
+		"sticky":      sexp.Bool(&m.ServicesStick),
+		"push-out":    sexp.Bool(&m.Preempts),
+		"attempts":    sexp.Int(&m.MaxAttempts, 1, 100),
+		"withdraw":    sexp.Bool(&m.MayWithdraw),
+		"probe":       sexp.Bool(&m.MayProbe),
+		"tell":        sexp.Bool(&m.MayTell),
+		"drain-grace": sexp.Duration(&m.DrainGrace, 0, time.Minute),
+		"list-within": sexp.Duration(&m.MustAskWithin, 100*time.Millisecond, time.Hour),
+		"cold": r.group(map[string]sexp.Field{
+			"for":      sexp.Duration(&m.ColdFor, 0, time.Hour),
+			"window":   sexp.Duration(&m.ColdWindow, 0, time.Minute),
+			"offers":   sexp.Number(&m.ColdOffers, 0, 1e6),
+			"from":     sexp.Number(&m.ColdFrom, 0, 1),
+			"multiple": sexp.Number(&m.ColdMultiple, 0, 1000),
+		}),
+		"over-share-worth": sexp.Number(&m.OverShareWorth, 0, 1),
+		"prices": r.group(map[string]sexp.Field{
+			"machine": sexp.Number(&m.Prices.Machine, 0, 10),
+			"move":    sexp.Number(&m.Prices.Move, 0, 10),
+			"evict":   sexp.Number(&m.Prices.Evict, 0, 100),
+			"refusal": sexp.Number(&m.Prices.Refusal, 0, 10),
+			"zone":    sexp.Number(&m.Prices.Zone, 0, 10),
+			"waste":   sexp.Number(&m.Prices.Waste, 0, 10),
+			"probe":   sexp.Number(&m.Prices.Probe, 0, 10),
+			"tell":    sexp.Number(&m.Prices.Tell, 0, 10),
+			"list":    sexp.Number(&m.Prices.List, 0, 10),
+		}),
+		"owner": r.group(map[string]sexp.Field{
+			"wait":            sexp.Duration(&m.OwnerWait, 0, time.Hour),
+			"max-retry-after": sexp.Duration(&m.MaxRetryAfter, 0, time.Hour),
+			"first":           sexp.Duration(&r.s.Owner.First, time.Millisecond, time.Hour),
+			"most":            sexp.Duration(&r.s.Owner.Most, time.Millisecond, long),
+			"soon":            sexp.Duration(&r.s.Owner.Soon, time.Millisecond, time.Hour),
+			"asks":            sexp.Int(&r.s.Owner.Asks, 1, 1e6),
+			"lives":           sexp.Int(&r.s.Owner.Lives, 1, 1e6),
+		}),
+		"links": r.group(map[string]sexp.Field{
+			"connect":    sexp.Duration(&r.s.Links.Connect, time.Millisecond, time.Minute),
+			"first":      sexp.Duration(&r.s.Links.First, time.Millisecond, time.Minute),
+			"most":       sexp.Duration(&r.s.Links.Most, time.Millisecond, time.Hour),
+			"lost-after": sexp.Duration(&r.s.Links.LostAfter, 0, time.Hour),
+			"probe":      sexp.Duration(&r.s.Links.Probe, time.Millisecond, time.Minute),
+		}),
+		"catalogue": r.group(map[string]sexp.Field{
+			"address": r.address(&r.s.Catalogue.Address),
+			"service": sexp.Text(&r.s.Catalogue.Service),
+			"wait":    sexp.Duration(&r.s.Catalogue.Wait, 10*time.Millisecond, 10*time.Minute),
+			"timeout": sexp.Duration(&r.s.Catalogue.Timeout, 10*time.Millisecond, 10*time.Minute),
+		}),
+		"limits": r.group(map[string]sexp.Field{
+			"body":        sexp.Int(&r.s.Limits.Body, 1024, 64<<20),
+			"tasks":       sexp.Int(&r.s.Limits.Tasks, 1, 1e7),
+			"per-submit":  sexp.Int(&r.s.Limits.PerSubmit, 1, 1e6),
+			"submissions": sexp.Int(&r.s.Limits.Submissions, 1, 1e6),
+			"keep":        sexp.Duration(&r.s.Limits.Keep, time.Second, long),
+			"connections": sexp.Int(&r.s.Limits.Connections, 1, 1e6),
+			"buffer":      sexp.Int(&r.s.Limits.Buffer, 4096, 1<<30),
+			"hosts":       sexp.Int(&r.s.Limits.Hosts, 1, 1e6),
+			"labels":      sexp.Int(&r.s.Limits.Label, 1, 64),
+		}),
+	}, map[string]bool{"placer": true, "kind": true, "class": true, "tenant": true}, r.errs)
+	r.finish(n, defaultClass)
+}
+
+// finish checks what concerns several settings.
+func (r *reader) finish(n, defaultClass *sexp.Node) {
+	s := r.s
+	if len(s.Placers) == 0 {
+		s.Placers = []Placer{{Zone: "", HTTP: "127.0.0.1:7070", Tell: "127.0.0.1:7071"}}
+	}
+	if len(s.Kinds) == 0 {
+		r.errs.Add(source.Wantf(n.Pos, "(kind NAME (cores N) (memory N))", "no kind of host is named"))
+	}
+	if len(s.Classes) == 0 {
+		r.errs.Add(source.Wantf(n.Pos, "(class NAME ...)", "no class of task is named"))
+	}
+	for _, w := range r.classKinds {
+		kind := Index(s.Kinds, w.name.Atom)
+		if kind < 0 {
+			r.errs.Add(source.Wantf(w.name.Pos, strings.Join(s.Kinds, ", "), "kind %q is not named", w.name.Atom))
+		}
+		s.Module.Classes[w.class].Kind = kind
+	}
+	if defaultClass != nil {
+		i, ok := s.Class(defaultClass.Atom)
+		if !ok {
+			r.errs.Add(source.Errorf(defaultClass.Pos, "class %q is not named", defaultClass.Atom))
+		}
+		s.DefaultClass = i
+	}
+	if s.Module.MeanCores == 0 {
+		s.Module.MeanCores = 1
+	}
+	if s.Module.MeanMemory == 0 {
+		s.Module.MeanMemory = 2
+	}
+	if s.Owner.Most < s.Owner.First {
+		r.errs.Add(source.Wantf(n.Pos, fmt.Sprintf("at least first, %v", s.Owner.First), "owner: most is %v", s.Owner.Most))
+	}
+	if s.Links.Most < s.Links.First {
+		r.errs.Add(source.Wantf(n.Pos, fmt.Sprintf("at least first, %v", s.Links.First), "links: most is %v", s.Links.Most))
+	}
+	total := 0.0
+	for _, t := range s.Module.Tenants {
+		total += t.Share
+	}
+	if total > 1.001 {
+		r.errs.Add(source.Wantf(n.Pos, "at most 1", "the tenants' shares sum to %.3g", total))
+	}
+	s.Module.Placers = len(s.Placers)
+}
+
+func (r *reader) group(fields map[string]sexp.Field) sexp.Field {
+	return func(n *sexp.Node) error {
+		sexp.Fields(n.Args(), fields, nil, r.errs)
+		return nil
+	}
+}
+
+func (r *reader) address(to *string) sexp.Field {
+	return sexp.One(func(v *sexp.Node) error {
+		word, err := v.Word()
+		if err != nil {
+			return err
+		}
+		if _, _, err := net.SplitHostPort(word); err != nil {
+			return source.Wantf(v.Pos, "ADDRESS:PORT", "%q", word)
+		}
+		*to = word
+		return nil
+	})
+}
+
+// Gibibyte is the module's unit of memory, in bytes.
+const Gibibyte = 1 << 30
+
+// memory reads an amount with its unit into units of a gibibyte.
+func (r *reader) memory(to *float64) sexp.Field {
+	return sexp.One(func(v *sexp.Node) error {
+		word, err := v.Word()
+		if err != nil {
+			return err
+		}
+		units := map[string]float64{"GiB": 1, "MiB": 1. / 1024, "TiB": 1024}
+		for unit, factor := range units {
+			if rest, ok := strings.CutSuffix(word, unit); ok {
+				amount := &sexp.Node{Pos: v.Pos, Atom: rest}
+				x, err := amount.Number(1e-3, 1e6)
+				if err != nil {
+					return source.Wantf(v.Pos, "an amount as 512MiB or 64GiB", "%q", word)
+				}
+				*to = x * factor
+				return nil
+			}
+		}
+		return source.Wantf(v.Pos, "an amount as 512MiB or 64GiB", "%q", word)
+	})
+}
+
+func (r *reader) placer(n *sexp.Node) error {
+	p := Placer{}
+	sexp.Fields(n.Args(), map[string]sexp.Field{
+		"zone": sexp.Text(&p.Zone),
+		"http": r.address(&p.HTTP),
+		"tell": r.address(&p.Tell),
+	}, nil, r.errs)
+	if len(r.s.Placers) >= 4096 {
+		return source.Wantf(n.Pos, "at most 4096", "too many placers")
+	}
+	r.s.Placers = append(r.s.Placers, p)
+	return nil
+}
+
+// named splits (head NAME fields...) and refuses a name that is taken.
+func named(n *sexp.Node, taken []string) (string, []*sexp.Node, error) {
+	args := n.Args()
+	if len(args) == 0 || args[0].List || args[0].Atom == "" {
+		return "", nil, source.Wantf(n.Pos, "("+n.Head()+" NAME ...)", "the %s has no name", n.Head())
+	}
+	if Index(taken, args[0].Atom) >= 0 {
+		return "", nil, source.Errorf(args[0].Pos, "%s %q is named a second time", n.Head(), args[0].Atom)
+	}
+	if len(taken) >= 250 {
+		return "", nil, source.Wantf(n.Pos, "at most 250", "too many of %s", n.Head())
+	}
+	return args[0].Atom, args[1:], nil
+}
+
+func (r *reader) kind(n *sexp.Node) error {
+	name, rest, err := named(n, r.s.Kinds)
+	if err != nil {
+		return err
+	}
+	k := forkhead.Kind{}
+	sexp.Fields(rest, map[string]sexp.Field{
+		"cores": sexp.Number(&k.Cores, 1e-3, 1e5), "memory": r.memory(&k.Memory),
+	}, nil, r.errs)
+	if k.Cores == 0 || k.Memory == 0 {
+		r.errs.Add(source.Wantf(n.Pos, "(cores N) and (memory N)", "kind %q lacks its cores or memory", name))
+	}
+	r.s.Kinds = append(r.s.Kinds, name)
+	r.s.Module.Kinds = append(r.s.Module.Kinds, k)
+	return nil
+}
+
+func (r *reader) class(n *sexp.Node) error {
+	var names []string
+	for _, c := range r.s.Classes {
+		names = append(names, c.Name)
+	}
+	name, rest, err := named(n, names)
+	if err != nil {
+		return err
+	}
+	c := Class{Name: name, Wait: 5 * time.Second}
+	m := forkhead.Class{
+		Window: 8 * time.Second, Aim: time.Second, Worth: 1, LateWorth: 0.1, StartWorth: 10, Kind: -1,
+		Calm: 0.9, Fade: 0.2,
+	}
+	at := len(r.s.Classes)
+	sexp.Fields(rest, map[string]sexp.Field{
+		"effect":      sexp.Choice(&m.Effect, map[string]forkhead.Effect{"safe": forkhead.Safe, "keyed": forkhead.Keyed, "unsafe": forkhead.Unsafe}),
+		"group":       sexp.Choice(&m.Group, Places),
+		"window":      sexp.Duration(&m.Window, 0, time.Hour),
+		"aim":         sexp.Duration(&m.Aim, 0, time.Hour),
+		"wait":        sexp.Duration(&c.Wait, time.Millisecond, time.Hour),
+		"patience":    sexp.Duration(&c.Patience, time.Millisecond, long),
+		"worth":       sexp.Number(&m.Worth, 0, most),
+		"late-worth":  sexp.Number(&m.LateWorth, 0, 1),
+		"start-worth": sexp.Number(&m.StartWorth, 0, most),
+		"priority":    sexp.Int(&m.Priority, 0, 3),
+		"kind": sexp.One(func(v *sexp.Node) error {
+			r.classKinds = append(r.classKinds, wantKind{at, v})
+			_, err := v.Word()
+			return err
+		}),
+		"spread": func(f *sexp.Node) error {
+			if len(f.Args()) != 2 {
+				return source.Wantf(f.Pos, "(spread machine|rack|zone MOST)", "spread has %d values", len(f.Args()))
+			}
+			if err := sexp.Choice(&m.Spread, Places)(&sexp.Node{Pos: f.Pos, List: true, Items: f.Items[:2]}); err != nil {
+				return err
+			}
+			m.Most, err = f.Items[2].Int(1, 1e6)
+			return err
+		},
+		"calm": sexp.Number(&m.Calm, 0.01, 10),
+		"fade": sexp.Number(&m.Fade, 0, 10),
+	}, nil, r.errs)
+	if c.Patience == 0 {
+		c.Patience = 2 * c.Wait
+	}
+	if c.Patience < c.Wait {
+		r.errs.Add(source.Wantf(n.Pos, fmt.Sprintf("at least its wait, %v", c.Wait), "class %q: patience is %v", name, c.Patience))
+	}
+	r.s.Classes = append(r.s.Classes, c)
+	r.s.Module.Classes = append(r.s.Module.Classes, m)
+	return nil
+}
+
+// Places are the words for sets of hosts, in settings and descriptions.
+var Places = map[string]forkhead.Place{
+	"anywhere": forkhead.Anywhere, "machine": forkhead.OnMachine, "rack": forkhead.InCell, "zone": forkhead.InZone,
+}
+
+func (r *reader) tenant(n *sexp.Node) error {
+	name, rest, err := named(n, r.s.Tenants)
+	if err != nil {
+		return err
+	}
+	t := forkhead.Tenant{}
+	sexp.Fields(rest, map[string]sexp.Field{
+		"share": sexp.Number(&t.Share, 0, 1), "cores": sexp.Number(&t.Cores, 0, most),
+	}, nil, r.errs)
+	r.s.Tenants = append(r.s.Tenants, name)
+	r.s.Module.Tenants = append(r.s.Module.Tenants, t)
+	return nil
+}
--- a/placer.go
+++ b/placer.go
@@ -480,7 +480,7 @@
 }
 
 // allowed applies the filters that no shortage of room lifts: state, health, the cold
-// budget, the spread of the service and the group of a keyed task.
+// budget, the labels that the task needs, the spread of the service and the group of a keyed task.
 func (p *Placer) allowed(t *task, m *machine) bool {
 	c := &p.set.Classes[t.Class]
 	if m.State != Ready || m.suspectUntil > p.now || m.failures > 0 || p.avoids(m, t.Class) ||
@@ -490,16 +490,26 @@
 	if t.mayRun != nil && c.Effect == Keyed && !same(c.Group, m, t.mayRun.machine) {
 		return false
 	}
-	if c.Spread == Anywhere {
+	for place, most := range t.Most {
+		if most > 0 && !p.spreads(t, m, Place(place), most) {
+			return false
+		}
+	}
+	return t.Needs&^m.Labels == 0 && p.spreads(t, m, c.Spread, c.Most)
+}
+
+// spreads says whether the service has fewer than so many live attempts in the machine's place.
+func (p *Placer) spreads(t *task, m *machine, place Place, most int) bool {
+	if place == Anywhere {
 		return true
 	}
 	n := 0
 	for _, a := range p.services[t.Service] {
-		if same(c.Spread, m, a.machine) {
+		if same(place, m, a.machine) {
 			n++
 		}
 	}
-	return n < c.Most
+	return n < most
 }
 
 func (p *Placer) isCold(m *machine) bool { return m.Started > 0 && p.now < m.Started+p.set.ColdFor }
