--- /dev/null
+++ b/internal/compose/compose_test.go
@@ -0,0 +1,274 @@
+package compose
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"forkhead/internal/description"
+	"forkhead/internal/source"
+)
+
+func input(text string) *Input {
+	return &Input{Files: []File{{Name: "a.yaml", Text: text}}, Classes: []string{"web", "batch"}, Tenants: []string{"courts"}}
+}
+
+func read(t *testing.T, in *Input) *description.Description {
+	t.Helper()
+	d, err := Parse(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func TestHonoured(t *testing.T) {
+	d := read(t, input(`
+name: calendar
+x-forkhead: {tenant: courts}
+services:
+  batch:
+    image: batch:${TAG:-3}
+    platform: linux/arm64
+    x-forkhead: {class: batch, life: 30s, wait: 2s, patience: 1m, spread: {rack: 2}}
+    stop_grace_period: 1m30s
+    deploy:
+      mode: replicated
+      replicas: 4
+      labels: [a=1, b]
+      resources:
+        limits: {cpus: "8", memory: 2g}
+        reservations: {cpus: "6", memory: 512m}
+      placement:
+        constraints: ["node.labels.disk == ssd", "node.hostname!=h9"]
+        preferences: [{spread: node.labels.zone}]
+        max_replicas_per_node: 1
+      restart_policy: {condition: on-failure, delay: 5s, max_attempts: 3, window: 120s}
+      update_config: {parallelism: 2, delay: 10s, failure_action: rollback, monitor: 5s, max_failure_ratio: 0.5, order: start-first}
+    depends_on:
+      db: {condition: service_healthy, restart: true}
+  db: {image: db, mem_reservation: 1gb, cpus: 2, restart: unless-stopped}
+`))
+	want := &description.Description{Name: "calendar", Services: []description.Service{
+		{
+			Name: "batch", Class: "batch", Tenant: "courts", Replicas: 4, Cores: 6, Memory: 0.5, LimitCores: 8, LimitMemory: 2,
+			Life: 30 * time.Second, Wait: 2 * time.Second, Patience: time.Minute,
+			Constraints: []description.Constraint{
+				{Attribute: "os", Value: "linux"}, {Attribute: "arch", Value: "arm64"},
+				{Attribute: "label.disk", Value: "ssd"}, {Attribute: "hostname", Not: true, Value: "h9"},
+			},
+			Preferences: []description.Attribute{"zone"},
+			Limits:      []description.Limit{{Place: "rack", Most: 2}, {Place: "machine", Most: 1}},
+			Restart:     description.Restart{When: description.OnFailure, Delay: 5 * time.Second, Most: 3, Window: 2 * time.Minute},
+			Update: description.Update{
+				Parallel: 2, Delay: 10 * time.Second, OnTrouble: description.Rollback, Monitor: 5 * time.Second, MaxFailed: 0.5, StartFirst: true,
+			},
+			DependsOn: []description.Dependency{{Service: "db", When: description.Healthy, Restart: true}},
+			Labels:    map[string]string{"a": "1", "b": ""}, StopGrace: 90 * time.Second,
+			Payload: []byte(`{"image":"batch:3","platform":"linux/arm64"}`),
+		},
+		{
+			Name: "db", Tenant: "courts", Replicas: 1, Cores: 2, Memory: 1, LimitCores: 2, Update: description.Update{Parallel: 1},
+			Payload: []byte(`{"image":"db"}`),
+		},
+	}}
+	if diff := cmp.Diff(want, d, cmpopts.IgnoreTypes(source.Pos{}), cmpopts.EquateEmpty()); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// Each case is a file and what it must yield: the error's place and text, or "" for none.
+func TestErrors(t *testing.T) {
+	deep := strings.Repeat("a: {", 80) + strings.Repeat("}", 80)
+	bomb := "a: &a [x,x,x,x,x,x,x,x,x]\n"
+	for i := 'b'; i <= 'i'; i++ {
+		bomb += string(i) + ": &" + string(i) + " [" + strings.Repeat("*"+string(i-1)+",", 8) + "*" + string(i-1) + "]\n"
+	}
+	for name, c := range map[string]struct{ text, want string }{
+		"unreadable":           {"services: [", "a.yaml:1:1: not readable as YAML"},
+		"unreadable, line 3":   {"services:\n  a: {}\n\tb: {}\n", "a.yaml:3:1: not readable as YAML"},
+		"empty":                {"", "a.yaml:1:1: there is nothing in it; want a Compose file"},
+		"a list":               {"- a", "a.yaml:1:1: the file is a list"},
+		"no services":          {"name: a", "describes no services"},
+		"alias bomb":           {bomb, "the files unfold to too much"},
+		"alias to itself":      {"services: &s {a: *s}", "stands inside what it names"},
+		"too deep":             {deep, "nested too deep"},
+		"key twice":            {"services:\n  a: {}\n  a: {}", `a.yaml:3:3`},
+		"unknown element":      {"services:\n  a: {imgae: x}", `a.yaml:2:7: unknown element "imgae" in service "a"; want image`},
+		"unknown in deploy":    {"services: {a: {deploy: {replica: 2}}}", `unknown element "replica" in deploy; want replicas`},
+		"unknown at the top":   {"service: {}", `a.yaml:1:1: unknown element "service" in the file; want services`},
+		"wrong type":           {"services: {a: {deploy: {replicas: many}}}", `a.yaml:1:35: replicas is "many"; want a whole number`},
+		"negative":             {"services: {a: {deploy: {replicas: -1}}}", "a whole number from 0"},
+		"not finite":           {"services: {a: {cpus: .inf}}", "a number from 0.001"},
+		"not a number":         {"services: {a: {cpus: nan}}", "a number from 0.001"},
+		"huge replicas":        {"services: {a: {deploy: {replicas: 99999999999999999999}}}", "a whole number"},
+		"bad duration":         {"services: {a: {stop_grace_period: 5 minutes}}", "a duration from"},
+		"duration overflow":    {"services: {a: {stop_grace_period: 99999999999999h}}", "a duration from"},
+		"bad bytes":            {"services: {a: {mem_limit: 3 apples}}", "an amount of bytes"},
+		"refused":              {"services: {a: {gpus: all}}", "gpus is refused: no kind of host offers them"},
+		"refused device":       {"services: {a: {deploy: {resources: {reservations: {devices: [{}]}}}}}", "devices is refused"},
+		"include":              {"include: [b.yaml]\nservices: {a: {}}", "include is refused: give the files together"},
+		"tied":                 {"services: {a: {network_mode: 'service:b'}, b: {}}", "ties two tasks to one host"},
+		"bad constraint":       {"services: {a: {deploy: {placement: {constraints: [fast]}}}}", "ATTRIBUTE == VALUE"},
+		"unknown attribute":    {"services: {a: {deploy: {placement: {constraints: ['engine.labels.x == y']}}}}", "no host tells"},
+		"unknown spread":       {"services: {a: {deploy: {placement: {preferences: [{spread: node.labels.floor}]}}}}", "node.labels.zone or node.labels.rack"},
+		"unknown class":        {"services: {a: {x-forkhead: {class: fast}}}", `class "fast" is not in the settings; want web, batch`},
+		"unknown own key":      {"services: {a: {x-forkhead: {clas: web}}}", `unknown element "clas" in x-forkhead of service "a"; want class`},
+		"depends on nothing":   {"services: {a: {depends_on: [b]}}", `service "a" depends on "b", which is not here`},
+		"depends in a circle":  {"services: {a: {depends_on: [b]}, b: {depends_on: [c]}, c: {depends_on: [a]}}", "depends_on goes round: a -> b -> c -> a"},
+		"extends in a circle":  {"services: {a: {extends: b}, b: {extends: {service: a}}}", "extends goes round: a -> b -> a"},
+		"extends nothing":      {"services: {a: {extends: {service: z}}}", `extends names service "z"`},
+		"extends no file":      {"services: {a: {extends: {file: base.yaml, service: z}}}", "base.yaml was not given"},
+		"scale and replicas":   {"services: {a: {scale: 2, deploy: {replicas: 3}}}", "scale is 2 and deploy.replicas 3"},
+		"global with replicas": {"services: {a: {deploy: {mode: global, replicas: 3}}}", "exclude each other"},
+		"reserves over limit":  {"services: {a: {deploy: {resources: {limits: {cpus: 1}, reservations: {cpus: 2}}}}}", "over its limit"},
+		"container_name":       {"services: {a: {container_name: x, deploy: {replicas: 2}}}", "allows one task"},
+		"no such network":      {"services: {a: {networks: [back]}}", `networks names "back", which the file does not describe`},
+		"no such volume":       {"services: {a: {volumes: ['data:/x']}}", `volumes names "data"`},
+		"required variable":    {"services: {a: {image: '${X:?say which}'}}", "variable X is not set: say which"},
+		"bad variable":         {"services: {a: {image: '${X!}'}}", "is not a form of variable"},
+		"open variable":        {"services: {a: {image: '${X'}}", "is never closed"},
+		"merge of a word":      {"services: {a: {<<: x}}", "<< is given a single value"},
+		"all behind profiles":  {"services: {a: {profiles: [x]}}", "every service stands behind a profile"},
+		"env_file missing":     {"services: {a: {env_file: .env.x}}", ".env.x was not given"},
+		"payload":              {"services: {a: {command: '" + strings.Repeat("x", 40<<10) + "'}}", "at most 32 KiB"},
+		"good":                 {"services: {a: {}}", ""},
+		"good, plain":          {"services: {a: {image: nginx, ports: ['80:80'], environment: [A=1]}}", ""},
+	} {
+		_, err := Parse(input(c.text))
+		switch {
+		case c.want == "" && err != nil:
+			t.Errorf("%s: %v", name, err)
+		case c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)):
+			t.Errorf("%s: %v\nwant %s", name, err, c.want)
+		case c.want != "" && source.First(err) == nil:
+			t.Errorf("%s: the error has no place: %v", name, err)
+		}
+	}
+}
+
+func TestInterpolation(t *testing.T) {
+	vars := map[string]string{"A": "one", "EMPTY": ""}
+	for text, want := range map[string]string{
+		"$A": "one", "${A}": "one", "x${A}y": "xoney", "$$A": "$A", "${B:-d}": "d", "${EMPTY:-d}": "d", "${EMPTY-d}": "",
+		"${B-d}": "d", "${A:+r}": "r", "${B:+r}": "", "${EMPTY+r}": "r", "${EMPTY:+r}": "", "${B:-${A}}": "one", "${A:?x}": "one",
+	} {
+		in := input("services: {a: {image: '" + text + "'}}")
+		in.Variables = vars
+		d, err := Parse(in)
+		if err != nil {
+			t.Errorf("%s: %v", text, err)
+			continue
+		}
+		if got := string(d.Services[0].Payload); got != `{"image":"`+want+`"}` {
+			t.Errorf("%s: payload %s, want image %q", text, got, want)
+		}
+	}
+}
+
+func TestMergeAndExtends(t *testing.T) {
+	in := input("")
+	in.Files = []File{
+		{"a.yaml", `
+name: p
+x-base: &base {environment: {A: "1", B: "2"}}
+services:
+  web:
+    <<: *base
+    command: [run, a]
+    ports: ["80:8080"]
+    dns: [1.1.1.1]
+    volumes: ["/a:/data"]
+  api:
+    extends: {file: common/base.yaml, service: api}
+    environment: [B=3]
+  gone: {image: x}
+`},
+		{"b.yaml", `
+services:
+  web:
+    command: [run, b]
+    environment: [B=9, C=4]
+    ports: ["80:8080", "81:8081"]
+    dns: [8.8.8.8]
+    volumes: ["/b:/data"]
+    deploy: {replicas: 2}
+  gone: !reset null
+`},
+	}
+	in.Others = []File{{"common/base.yaml", "services: {api: {extends: root, image: api}, root: {environment: {A: base, B: base}, init: true}}"}}
+	d := read(t, in)
+	got := map[string]string{}
+	for _, s := range d.Services {
+		got[s.Name] = string(s.Payload)
+	}
+	want := map[string]string{
+		"web": `{"command":["run","b"],"dns":["1.1.1.1","8.8.8.8"],"environment":{"A":"1","B":"9","C":"4"},"ports":["80:8080","81:8081"],"volumes":["/b:/data"]}`,
+		"api": `{"environment":{"A":"base","B":"3"},"image":"api","init":true}`,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+	if d.Service("web").Replicas != 2 {
+		t.Fatal("the later file's replicas are lost")
+	}
+}
+
+func TestProfilesAndNotes(t *testing.T) {
+	in := input("version: '3'\nservices: {a: {}, b: {profiles: [debug], build: .}, c: {depends_on: {b: {condition: service_started, required: false}}}}")
+	d := read(t, in)
+	if len(d.Services) != 2 || len(d.Service("c").DependsOn) != 0 {
+		t.Fatalf("services: %+v", d.Services)
+	}
+	in.Profiles = []string{"debug"}
+	if d = read(t, in); len(d.Services) != 3 || len(d.Service("c").DependsOn) != 1 {
+		t.Fatalf("services: %+v", d.Services)
+	}
+	if len(d.Notes) != 2 {
+		t.Fatalf("notes: %+v", d.Notes)
+	}
+}
+
+// The page and the parser go by one table.
+func TestTableOnPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/compose.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Table()) {
+		t.Fatal("docs/compose.md does not hold the parser's table; `go test ./internal/compose -run Page -update` writes it")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("services: {a: {image: '${A:-b}', deploy: {replicas: 2}}}")
+	f.Add("x: &x {a: 1}\nservices:\n  a: {<<: *x, extends: b}\n  b: {depends_on: [a]}")
+	f.Add("services: {a: {ports: [{mode: host, published: 80, target: 80}], volumes: [a:/b]}}\nvolumes: {a: }")
+	f.Fuzz(func(t *testing.T, text string) {
+		d, err := Parse(input(text))
+		if (d == nil) == (err == nil) {
+			t.Fatal("neither a description nor an error, or both")
+		}
+		if d != nil && d.Tasks() < 0 {
+			t.Fatal("negative tasks")
+		}
+	})
+}
+
+func BenchmarkParse(b *testing.B) {
+	text := "services:\n"
+	for i := range 50 {
+		text += "  s" + string(rune('a'+i%26)) + string(rune('a'+i/26)) + ": {image: 'x:${T:-1}', deploy: {replicas: 3, resources: {reservations: {cpus: '0.5', memory: 256m}}}}\n"
+	}
+	in := input(text)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Parse(in); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,372 @@
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/attempt"
+	"forkhead/internal/guard"
+	"forkhead/internal/hostlink"
+	"forkhead/internal/hostproto"
+	"forkhead/internal/ids"
+	"forkhead/internal/owner"
+	"forkhead/internal/settings"
+)
+
+// Config is what a Core starts from.
+type Config struct {
+	Settings *settings.Settings // by For: Module.Self is this placer
+	Seed     uint64
+	Epoch    uint64   // of this life; higher than any before
+	Hash     ids.Hash // nil: ids.FNV
+	// Decide stands in the module's place in tests of the guard; nil: the module.
+	Decide func(now time.Duration, events []forkhead.Event) []forkhead.Action
+}
+
+// Core is one placer. It is not safe for concurrent use.
+type Core struct {
+	set    *settings.Settings
+	decide func(now time.Duration, events []forkhead.Event) []forkhead.Action
+	rng    *rand.Rand
+	epoch  uint64
+
+	now    time.Duration
+	out    []Output
+	events []forkhead.Event // for the module, of this moment
+	timers timers
+	seq    uint64
+
+	ids      *ids.Table
+	listedAt time.Duration // when a list first came
+	hosts    map[string]*host
+	byID     map[forkhead.MachineID]*host
+	zones    map[string]int
+	racks    map[string]int
+
+	asks     map[forkhead.TaskID]*ask
+	refs     map[hostproto.Ref]*try
+	live     map[uint64][]*try // attempts that count against the spread, by service
+	nextTask uint32
+	labels   labels
+
+	projects    map[string]*project
+	wishes      int
+	submissions map[string]*submission
+	byKey       map[string]*submission
+	ended       []*submission // complete, in the order in which they became so
+	nextSub     uint64
+
+	policy owner.Policy
+	links  hostlink.Policy
+	stat   Status
+}
+
+// New returns a placer's core, or the module's word on what it cannot use.
+func New(cfg Config) (*Core, error) {
+	set := cfg.Settings
+	if cfg.Hash == nil {
+		cfg.Hash = ids.FNV
+	}
+	c := &Core{
+		set: set, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)), epoch: cfg.Epoch, decide: cfg.Decide,
+		ids: ids.NewTable(cfg.Hash), hosts: map[string]*host{}, byID: map[forkhead.MachineID]*host{},
+		zones: map[string]int{}, racks: map[string]int{},
+		asks: map[forkhead.TaskID]*ask{}, refs: map[hostproto.Ref]*try{}, live: map[uint64][]*try{},
+		projects: map[string]*project{}, submissions: map[string]*submission{}, byKey: map[string]*submission{},
+		policy: owner.Policy{
+			First: set.Owner.First, Most: set.Owner.Most, Soon: set.Owner.Soon, AfterMayRun: set.Module.OwnerWait,
+			MaxRetryAfter: set.Module.MaxRetryAfter, Asks: set.Owner.Asks,
+		},
+		links: hostlink.Policy{Connect: set.Links.Connect, First: set.Links.First, Most: set.Links.Most},
+	}
+	c.labels.most = set.Limits.Label
+	c.stat = Status{Placer: set.Module.Self, Epoch: cfg.Epoch, Outcomes: map[string]uint64{}, ByRule: map[string]uint64{}}
+	c.zones[set.Placers[set.Module.Self].Zone] = 0
+	if c.decide == nil {
+		module, err := forkhead.New(set.Module, cfg.Seed)
+		if err != nil {
+			return nil, err
+		}
+		c.decide = module.Step
+	}
+	return c, nil
+}
+
+// mostRounds bounds how often the module is asked within one Step: each round is an offer that
+// could not be sent, and those are bounded by the attempts of each ask.
+const mostRounds = 10_000
+
+// Step takes the inputs of one moment, and what is due by then, and returns what to carry out,
+// in order. A now before the last one counts as the last one: the clock may have been set back.
+func (c *Core) Step(now time.Duration, inputs ...Input) []Output {
+	first := c.now == 0
+	c.now, c.out = max(now, c.now), nil
+	for _, in := range inputs {
+		c.take(in)
+	}
+	var late []*timer
+	for len(c.timers) > 0 && c.timers[0].at <= c.now {
+		t := heap.Pop(&c.timers).(*timer)
+		if t.kind == timerDeadline {
+			// After the module's own timers of this moment: a placer that stood still lets the
+			// module end its asks before they are taken to be forgotten.
+			late = append(late, t)
+			continue
+		}
+		c.fire(t)
+	}
+	c.run(first)
+	for _, t := range late {
+		c.fire(t)
+	}
+	c.run(false)
+	return c.out
+}
+
+// Next returns when Step has something to do by itself.
+func (c *Core) Next() (time.Duration, bool) {
+	if len(c.timers) == 0 {
+		return 0, false
+	}
+	return c.timers[0].at, true
+}
+
+// run hands the module its events until it has none.
+func (c *Core) run(always bool) {
+	for round := 0; always || len(c.events) > 0; round++ {
+		always = false
+		if round >= mostRounds {
+			c.defect("the module was asked %d times at one moment", round)
+			c.events = nil
+			return
+		}
+		events := c.events
+		c.events = nil
+		for _, a := range c.decide(c.now, events) {
+			c.act(a)
+		}
+	}
+}
+
+func (c *Core) take(in Input) {
+	switch in := in.(type) {
+	case Listing:
+		c.listing(in)
+	case Dialled:
+		if h := c.hosts[in.Host]; h != nil {
+			c.link(h, hostlink.Input{Kind: hostlink.Dialled, Conn: in.Conn})
+		}
+	case Broke:
+		if h := c.hosts[in.Host]; h != nil {
+			c.link(h, hostlink.Input{Kind: hostlink.Broke, Conn: in.Conn})
+		}
+	case FromHost:
+		if h := c.hosts[in.Host]; h != nil && in.Conn == h.link.Conn {
+			c.frame(h, in.Frame)
+		}
+	case Submit:
+		c.submit(in)
+	case Remove:
+		c.remove(in)
+	case FromPlacer:
+		c.tell(forkhead.Told{From: in.From, Data: in.Data})
+	}
+}
+
+// tell puts an event before the module.
+func (c *Core) tell(ev forkhead.Event) { c.events = append(c.events, ev) }
+
+func (c *Core) do(o Output) { c.out = append(c.out, o) }
+
+func (c *Core) log(format string, args ...any) {
+	c.do(Logged{Text: fmt.Sprintf(format, args...)})
+}
+
+// defect notes something that this program should never do.
+func (c *Core) defect(format string, args ...any) {
+	c.stat.Defects++
+	c.do(Logged{Defect: true, Text: fmt.Sprintf(format, args...)})
+}
+
+// veto counts an action of the module that the guard did not let through.
+func (c *Core) veto(v *guard.Veto, format string, args ...any) {
+	c.stat.Vetoes++
+	c.stat.ByRule[v.Rule.String()]++
+	c.defect("veto: %s: %v", fmt.Sprintf(format, args...), v)
+}
+
+// act carries out one action of the module, if the guard lets it through.
+func (c *Core) act(a forkhead.Action) {
+	switch a := a.(type) {
+	case forkhead.Offer:
+		c.offer(a)
+	case forkhead.Refuse:
+		c.answer(a.Task, true, a.RetryAfter)
+	case forkhead.Fail:
+		c.answer(a.Task, false, 0)
+	case forkhead.Withdraw:
+		if k := c.asks[a.Task]; k != nil && a.Attempt >= 0 && a.Attempt < len(k.tries) {
+			c.input(k.tries[a.Attempt], attempt.CalledOff, detail{})
+		}
+	case forkhead.Stop:
+		c.stop(a.Task)
+	case forkhead.SetTimer:
+		c.at(&timer{at: a.At, kind: timerModule, number: a.Timer})
+	case forkhead.Probe:
+		c.probe(c.byID[a.Machine], a.Machine)
+	case forkhead.Tell:
+		c.do(ToPlacer{To: a.To, Data: a.Data})
+	case forkhead.Subscribe:
+		c.do(Subscribe{})
+	case forkhead.Log:
+		c.log("%s", a.Text)
+	}
+}
+
+// ---- Timers.
+
+type timerKind uint8
+
+const (
+	timerModule   timerKind = iota // number
+	timerDeadline                  // ask: its owner gives it up
+	timerCap                       // try: its own time-out
+	timerConnect                   // try: its connection takes too long
+	timerAsk                       // wish: to be asked again
+	timerGiveUp                    // wish: its owner's patience is over
+	timerRetry                     // host: to be dialled
+	timerLate                      // host, number: dialling or greeting takes too long
+	timerAlive                     // host, number: to be heard from
+	timerLapse                     // host, number: what was placed there counts as lost
+	timerProbe                     // host, number: a probe without an answer
+	timerRollout                   // service
+	timerWatch                     // wish, number: it has stood an update's monitoring
+	timerExpire                    // submissions that nobody reads again
+)
+
+type timer struct {
+	at     time.Duration
+	seq    uint64
+	kind   timerKind
+	number uint64
+	ask    *ask
+	try    *try
+	wish   *wish
+	host   *host
+	svc    *service
+}
+
+// timers is a heap by time, then by the order in which they were set.
+type timers []*timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+// Push and Pop are for container/heap.
+func (t *timers) Push(x any) { *t = append(*t, x.(*timer)) }
+
+// Pop takes the last.
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*t = old[:len(old)-1]
+	return last
+}
+
+func (c *Core) at(t *timer) {
+	c.seq++
+	t.seq = c.seq
+	heap.Push(&c.timers, t)
+}
+
+func (c *Core) fire(t *timer) {
+	switch t.kind {
+	case timerModule:
+		c.tell(forkhead.TimerFired{Timer: t.number})
+	case timerDeadline:
+		c.overdue(t.ask)
+	case timerCap:
+		if t.try.phase().Out() {
+			c.input(t.try, attempt.CalledOff, detail{result: forkhead.TimedOut})
+		}
+	case timerConnect:
+		if t.try.phase() == attempt.Waiting {
+			c.input(t.try, attempt.Broke, detail{})
+		}
+	case timerAsk:
+		if t.wish.askSeq == t.number {
+			c.askNow(t.wish)
+		}
+	case timerGiveUp:
+		if t.wish.giveUpSeq == t.number {
+			c.impatient(t.wish)
+		}
+	case timerRetry:
+		c.link(t.host, hostlink.Input{Kind: hostlink.Retry})
+	case timerLate:
+		c.link(t.host, hostlink.Input{Kind: hostlink.Late, Conn: uint32(t.number)})
+	case timerAlive:
+		c.alive(t.host, uint32(t.number))
+	case timerLapse:
+		c.lapse(t.host, t.number)
+	case timerProbe:
+		c.probeLate(t.host, uint32(t.number))
+	case timerRollout:
+		c.roll(t.svc)
+	case timerWatch:
+		if t.wish.watchSeq == t.number {
+			c.rolledOut(t.wish, true)
+		}
+	case timerExpire:
+		c.expire()
+	}
+}
+
+// Status counts what the placer holds and has done.
+func (c *Core) Status() Status {
+	s := c.stat
+	s.Tasks, s.Submissions = c.wishes, len(c.submissions)
+	for _, h := range c.hosts {
+		if h.listed {
+			s.Hosts++
+		}
+		if h.usable() {
+			s.Up++
+		}
+		if h.state() == forkhead.Ready {
+			s.Ready++
+		}
+	}
+	for _, p := range c.projects {
+		for _, svc := range p.services {
+			for _, w := range svc.wishes {
+				switch w.state {
+				case placed:
+					s.Running++
+				case waiting, asking, heldBack:
+					s.Waiting++
+				}
+			}
+		}
+	}
+	for _, t := range c.refs {
+		if t.phase() == attempt.Unknown {
+			s.Unknown++
+		}
+	}
+	s.Outcomes, s.ByRule = map[string]uint64{}, map[string]uint64{}
+	for k, v := range c.stat.Outcomes {
+		s.Outcomes[k] = v
+	}
+	for k, v := range c.stat.ByRule {
+		s.ByRule[k] = v
+	}
+	return s
+}
--- /dev/null
+++ b/internal/core/hosts.go
@@ -0,0 +1,623 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/attempt"
+	"forkhead/internal/description"
+	"forkhead/internal/guard"
+	"forkhead/internal/hostlink"
+	"forkhead/internal/hostproto"
+	"forkhead/internal/settings"
+)
+
+// host is a host of the list, or one that has left it and still holds something of ours.
+type host struct {
+	name   string
+	id     forkhead.MachineID
+	entry  HostEntry
+	listed bool
+	kind   int
+	zone   int
+	cell   int
+	drains bool          // by its own word
+	since  time.Duration // told that it drains or is gone
+	labels uint64
+
+	link   hostlink.Link
+	ready  bool // Welcome and all its Holds have come
+	await  int  // Holds entries still to come
+	holds  map[hostproto.Ref]bool
+	heard  time.Duration
+	tries  map[hostproto.Ref]*try
+	probes map[uint32]time.Duration // outstanding probes of the module
+	probe  uint32                   // number of the last one
+	ask    bool                     // the module wants a probe once the connection is up
+	lapse  uint64                   // number of the timer that counts
+}
+
+// state is what this placer goes by: the list's word, or the host's own if that is worse.
+func (h *host) state() forkhead.State {
+	switch {
+	case !h.listed:
+		return forkhead.Gone
+	case h.drains:
+		return forkhead.Draining
+	}
+	return h.entry.State
+}
+
+func (h *host) usable() bool { return h.link.State == hostlink.Up && h.ready }
+
+func (h *host) guard() *guard.Host {
+	return &guard.Host{
+		ID: attempt.Host(h.id), State: h.state(), Since: h.since, Kind: h.kind, Zone: h.zone, Cell: h.cell,
+		Labels: h.labels, Started: h.entry.Started,
+	}
+}
+
+// machine is the host as the module is told of it.
+func (h *host) machine() forkhead.Machine {
+	return forkhead.Machine{
+		ID: h.id, State: h.state(), Kind: h.kind, Zone: h.zone, Cell: h.cell, Started: h.entry.Started,
+		FreeCores: h.entry.FreeCores, FreeMemory: h.entry.FreeMemory, Labels: h.labels,
+	}
+}
+
+func number(table map[string]int, name string) int {
+	n, ok := table[name]
+	if !ok {
+		n = len(table)
+		table[name] = n
+	}
+	return n
+}
+
+// listing takes in the list of hosts.
+func (c *Core) listing(l Listing) {
+	if l.Mode == forkhead.ListFailed {
+		c.tell(forkhead.Update{Mode: forkhead.ListFailed})
+		return
+	}
+	if len(l.Hosts) > c.set.Limits.Hosts {
+		c.log("the list names %d hosts; only %d are used", len(l.Hosts), c.set.Limits.Hosts)
+		l.Hosts = l.Hosts[:c.set.Limits.Hosts]
+	}
+	if c.listedAt == 0 {
+		c.listedAt = c.now
+	}
+	was := map[*host]forkhead.State{}
+	for _, h := range c.hosts {
+		was[h] = h.state()
+	}
+	seen := map[*host]bool{}
+	var gone []forkhead.Machine
+	for _, entry := range l.Hosts {
+		kind := settings.Index(c.set.Kinds, entry.Kind)
+		if kind < 0 || entry.Name == "" || len(entry.Name) > hostproto.MostText {
+			continue // a host of a kind that the settings do not know is never offered anything
+		}
+		h := c.hosts[entry.Name]
+		if h == nil {
+			h = &host{name: entry.Name, tries: map[hostproto.Ref]*try{}, probes: map[uint32]time.Duration{}}
+			c.hosts[entry.Name] = h
+			n, renamed := c.ids.Add(entry.Name)
+			h.id = forkhead.MachineID(n)
+			for name, old := range renamed {
+				gone = append(gone, c.renumber(name, forkhead.MachineID(old))...)
+			}
+			c.byID[h.id] = h
+		}
+		if seen[h] {
+			c.log("the list names host %s twice; the first entry counts", entry.Name)
+			continue
+		}
+		seen[h] = true
+		h.listed, h.entry, h.kind = true, entry, kind
+		h.zone, h.cell = number(c.zones, entry.Zone), number(c.racks, entry.Rack)
+		h.labels = c.labels.of(&h.entry)
+		c.link(h, hostlink.Input{Kind: hostlink.Listed, Address: entry.Address})
+	}
+	update := forkhead.Update{Mode: l.Mode}
+	if len(gone) > 0 {
+		c.tell(forkhead.Update{Mode: forkhead.ListDelta, Machines: gone})
+	}
+	for _, h := range c.sorted() {
+		if !seen[h] && h.listed {
+			h.listed = false
+			c.link(h, hostlink.Input{Kind: hostlink.Delisted})
+			c.departed(h)
+		}
+		if s := h.state(); s != forkhead.Ready && was[h] != s {
+			if was[h] == forkhead.Ready || h.since == 0 {
+				h.since = c.now
+			}
+		} else if s == forkhead.Ready {
+			h.since = 0
+		}
+		if h.listed {
+			update.Machines = append(update.Machines, h.machine())
+		}
+	}
+	c.tell(update)
+	c.forgetHosts()
+}
+
+// renumber moves a host whose number collided to the one that the table gives it now.
+func (c *Core) renumber(name string, old forkhead.MachineID) []forkhead.Machine {
+	h := c.hosts[name]
+	if h == nil {
+		return nil
+	}
+	n, _ := c.ids.Number(name)
+	delete(c.byID, old)
+	gone := h.machine()
+	gone.ID, gone.State = old, forkhead.Gone
+	h.id = forkhead.MachineID(n)
+	c.byID[h.id] = h
+	c.log("two hosts have one number, %d; %s is %d from now on", old, name, n)
+	return []forkhead.Machine{gone}
+}
+
+// sorted returns the hosts in the order of their names: maps have none.
+func (c *Core) sorted() []*host {
+	out := make([]*host, 0, len(c.hosts))
+	for _, h := range c.hosts {
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b *host) int { return strings.Compare(a.name, b.name) })
+	return out
+}
+
+// departed settles what a host that has left the list had, if it is out of reach too: being
+// taken off the list is the operator's word that it is gone.
+func (c *Core) departed(h *host) {
+	if !h.listed && h.link.State == hostlink.Down {
+		for _, t := range h.sortedTries() {
+			c.input(t, attempt.Died, detail{})
+		}
+	}
+}
+
+// forgetHosts drops hosts of which nothing is left.
+func (c *Core) forgetHosts() {
+	for name, h := range c.hosts {
+		if !h.listed && h.link.State == hostlink.Down && len(h.tries) == 0 {
+			delete(c.hosts, name)
+			delete(c.byID, h.id)
+		}
+	}
+}
+
+func (h *host) sortedTries() []*try {
+	out := make([]*try, 0, len(h.tries))
+	for _, t := range h.tries {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b *try) int {
+		if a.ref.Task != b.ref.Task {
+			return int(int64(a.ref.Task) - int64(b.ref.Task))
+		}
+		if a.ref.Attempt != b.ref.Attempt {
+			return int(a.ref.Attempt) - int(b.ref.Attempt)
+		}
+		if a.ref.Epoch < b.ref.Epoch {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// link takes an input to a host's connection and carries out what follows.
+func (c *Core) link(h *host, in hostlink.Input) {
+	out := h.link.On(in, c.links, c.rng.Float64())
+	if out.Close {
+		c.do(Close{Host: h.name, Conn: out.Closing})
+	}
+	if out.Foreign {
+		c.log("host %s answered with an earlier life; the connection is closed", h.name)
+	}
+	if out.Broken {
+		c.broken(h)
+	}
+	if out.Died {
+		for _, t := range h.sortedTries() {
+			if t.hostEpoch < h.link.Epoch && t.phase() != attempt.Waiting {
+				c.input(t, attempt.Died, detail{})
+			}
+		}
+	}
+	if out.Dial {
+		c.do(Dial{Host: h.name, Address: h.link.Address, Conn: h.link.Conn})
+	}
+	if out.Greet {
+		c.do(ToHost{Host: h.name, Conn: h.link.Conn, Frame: hostproto.Hello{
+			Version: hostproto.Version, Placer: uint16(c.set.Module.Self), Epoch: c.epoch, Conn: h.link.Conn,
+		}})
+	}
+	if out.RetryIn > 0 {
+		c.at(&timer{at: c.now + out.RetryIn, kind: timerRetry, host: h})
+	}
+	if out.LateIn > 0 {
+		c.at(&timer{at: c.now + out.LateIn, kind: timerLate, host: h, number: uint64(h.link.Conn)})
+	}
+}
+
+// broken tells all that a host's connection is gone.
+func (c *Core) broken(h *host) {
+	h.ready, h.holds = false, nil
+	for _, t := range h.sortedTries() {
+		c.input(t, attempt.Broke, detail{})
+	}
+	for range h.probes {
+		c.tell(forkhead.Probed{Machine: h.id, Result: forkhead.ConnectFailed})
+	}
+	clear(h.probes)
+	if h.ask {
+		h.ask = false
+		c.tell(forkhead.Probed{Machine: h.id, Result: forkhead.ConnectFailed})
+	}
+	h.lapse++
+	c.at(&timer{at: c.now + c.set.Links.LostAfter, kind: timerLapse, host: h, number: h.lapse})
+	c.departed(h)
+}
+
+// lapse gives up what was placed on a host that has been out of reach for long, where starting
+// it again is harmless. All else waits until its fate is known.
+func (c *Core) lapse(h *host, number uint64) {
+	if number != h.lapse || h.usable() {
+		return
+	}
+	for _, t := range h.sortedTries() {
+		if t.phase() == attempt.Silent && t.ask.Rules.Effect == forkhead.Safe {
+			c.input(t, attempt.Lapsed, detail{})
+		}
+	}
+}
+
+// frame takes a frame from a host.
+func (c *Core) frame(h *host, f hostproto.Frame) {
+	h.heard = c.now
+	if w, ok := f.(hostproto.Welcome); ok {
+		c.welcome(h, w)
+		return
+	}
+	if b, ok := f.(hostproto.Bye); ok {
+		c.log("host %s says: %s", h.name, b.Text)
+		return
+	}
+	if h.link.State != hostlink.Up {
+		c.absurd(h, "a frame before Welcome")
+		return
+	}
+	switch f := f.(type) {
+	case hostproto.Holds:
+		c.holding(h, f)
+	case hostproto.Refused:
+		t := h.tries[f.Ref]
+		if t == nil {
+			return
+		}
+		in := attempt.Declined
+		if p := t.phase(); p == attempt.Placed || p == attempt.Silent {
+			in = attempt.Missing // the answer to a Query
+		}
+		c.input(t, in, detail{reason: forkhead.Reason(f.Reason), report: report(f.Report)})
+	case hostproto.Accepted:
+		if t := h.tries[f.Ref]; t != nil {
+			t.accepted = true
+			if !c.set.Module.BoundWhenRunning {
+				c.input(t, attempt.Accepted, detail{})
+			}
+		}
+	case hostproto.Running:
+		if t := h.tries[f.Ref]; t != nil {
+			c.running(t, attempt.Accepted)
+		}
+	case hostproto.Note:
+		if t := h.tries[f.Ref]; t != nil && t.phase() == attempt.Placed {
+			c.tell(forkhead.Note{
+				Task: t.ask.id, Attempt: t.number, Machine: t.machine, Kind: forkhead.NoteKind(f.Kind), Amount: float64(f.Amount),
+			})
+		}
+	case hostproto.Ended:
+		if t := h.tries[f.Ref]; t != nil {
+			d := ending(f)
+			in := attempt.Ended
+			if f.Result == hostproto.Called {
+				in = attempt.Declined
+			}
+			c.input(t, in, d)
+		}
+	case hostproto.Probed:
+		if _, ok := h.probes[f.ID]; ok {
+			delete(h.probes, f.ID)
+			c.tell(forkhead.Probed{Machine: h.id, Result: forkhead.OK, Report: report(f.Report)})
+		}
+	case hostproto.Drain:
+		c.drain(h, f.On)
+	default:
+		c.absurd(h, "a frame that only placers send")
+	}
+}
+
+// running takes the news that a task runs.
+func (c *Core) running(t *try, in attempt.Input) {
+	if c.set.Module.BoundWhenRunning {
+		c.input(t, in, detail{})
+		return
+	}
+	if t.phase() != attempt.Placed {
+		c.input(t, in, detail{})
+	}
+	if t.phase() == attempt.Placed && !t.runs {
+		t.runs = true
+		c.tell(forkhead.Note{Task: t.ask.id, Attempt: t.number, Machine: t.machine, Kind: forkhead.NoteRuns})
+	}
+}
+
+func (c *Core) absurd(h *host, what string) {
+	c.log("host %s: %s; the connection is closed", h.name, what)
+	c.do(Close{Host: h.name, Conn: h.link.Conn})
+	c.link(h, hostlink.Input{Kind: hostlink.Broke, Conn: h.link.Conn})
+}
+
+func (c *Core) welcome(h *host, w hostproto.Welcome) {
+	if w.Version != hostproto.Version || w.Host != h.name {
+		// Guards against an address that another host has by now.
+		c.absurd(h, "it is "+w.Host+", or speaks another version")
+		return
+	}
+	if h.link.State != hostlink.Greeting {
+		c.absurd(h, "a second Welcome")
+		return
+	}
+	c.link(h, hostlink.Input{Kind: hostlink.Welcomed, Conn: h.link.Conn, Epoch: w.Epoch})
+	if h.link.State != hostlink.Up {
+		return
+	}
+	h.lapse++
+	h.await, h.holds = int(w.Count), map[hostproto.Ref]bool{}
+	c.at(&timer{at: c.now + c.set.Links.LostAfter/2, kind: timerAlive, host: h, number: uint64(h.link.Conn)})
+	c.drain(h, w.Draining)
+	if h.await == 0 {
+		c.opened(h)
+	}
+}
+
+// holding takes a part of what a host says it has of ours.
+func (c *Core) holding(h *host, f hostproto.Holds) {
+	if h.ready || len(f.Held) > h.await {
+		c.absurd(h, "more held tasks than it announced")
+		return
+	}
+	h.await -= len(f.Held)
+	for i := range f.Held {
+		held := &f.Held[i]
+		h.holds[held.Ref] = true
+		switch t := h.tries[held.Ref]; {
+		case t != nil && held.Phase == hostproto.InLine:
+			c.send(h, hostproto.Withdraw{Ref: held.Ref}) // it was given up when the connection broke
+		case t != nil && held.Phase == hostproto.Starting:
+			t.accepted = true
+			c.input(t, attempt.Held, detail{})
+		case t != nil:
+			c.running(t, attempt.Held)
+		case held.Ref.Epoch < c.epoch:
+			c.inherit(h, held)
+		case held.Ref.Epoch == c.epoch:
+			c.send(h, hostproto.Stop{Ref: held.Ref}) // its ask is long over
+		}
+	}
+	if h.await == 0 {
+		c.opened(h)
+	}
+}
+
+// opened follows the last of a host's Holds: what it did not name is asked about, and what
+// waited for the connection goes out.
+func (c *Core) opened(h *host) {
+	h.ready = true
+	var refs []hostproto.Ref
+	for _, t := range h.sortedTries() {
+		switch p := t.phase(); {
+		case p == attempt.Waiting:
+			c.write(t)
+		case !p.Settled() && !h.holds[t.ref] && t.hostEpoch == h.link.Epoch && t.conn != h.link.Conn:
+			refs = append(refs, t.ref)
+		}
+	}
+	h.holds = nil
+	for len(refs) > 0 {
+		n := min(len(refs), hostproto.MostRefs)
+		c.send(h, hostproto.Query{Refs: refs[:n]})
+		refs = refs[n:]
+	}
+	if h.ask {
+		h.ask = false
+		c.sendProbe(h)
+	}
+}
+
+func (c *Core) send(h *host, f hostproto.Frame) {
+	c.do(ToHost{Host: h.name, Conn: h.link.Conn, Frame: f})
+}
+
+// drain takes a host's own word on whether it drains.
+func (c *Core) drain(h *host, on bool) {
+	if h.drains == on {
+		return
+	}
+	before := h.state()
+	h.drains = on
+	if after := h.state(); after != before {
+		h.since = 0
+		if after != forkhead.Ready {
+			h.since = c.now
+		}
+		if h.listed {
+			c.tell(forkhead.Update{Mode: forkhead.ListDelta, Machines: []forkhead.Machine{h.machine()}})
+		}
+	}
+}
+
+// alive makes sure that an idle connection is not a dead one: a host that says nothing for half
+// of LostAfter is asked, and one that says nothing for all of it is taken to be gone. Guards
+// against hosts that vanish without a reset.
+func (c *Core) alive(h *host, conn uint32) {
+	if conn != h.link.Conn || h.link.State != hostlink.Up {
+		return
+	}
+	quiet := c.now - h.heard
+	if quiet >= c.set.Links.LostAfter {
+		c.log("host %s has said nothing for %v; the connection is closed", h.name, quiet.Round(time.Millisecond))
+		c.do(Close{Host: h.name, Conn: conn})
+		c.link(h, hostlink.Input{Kind: hostlink.Broke, Conn: conn})
+		return
+	}
+	if quiet >= c.set.Links.LostAfter/2 {
+		c.send(h, hostproto.Probe{ID: 0})
+	}
+	c.at(&timer{at: c.now + max(c.set.Links.LostAfter/4, time.Millisecond), kind: timerAlive, host: h, number: uint64(conn)})
+}
+
+// probe asks a host for a sign of life on the module's behalf.
+func (c *Core) probe(h *host, id forkhead.MachineID) {
+	switch {
+	case h == nil || h.link.State == hostlink.Down:
+		c.tell(forkhead.Probed{Machine: id, Result: forkhead.ConnectFailed})
+	case !h.usable():
+		h.ask = true // answered by the connection, or by its failure
+	default:
+		c.sendProbe(h)
+	}
+}
+
+func (c *Core) sendProbe(h *host) {
+	h.probe = max(h.probe+1, 1)
+	h.probes[h.probe] = c.now
+	c.send(h, hostproto.Probe{ID: h.probe})
+	c.at(&timer{at: c.now + c.set.Links.Probe, kind: timerProbe, host: h, number: uint64(h.probe)})
+}
+
+func (c *Core) probeLate(h *host, id uint32) {
+	if at, ok := h.probes[id]; ok {
+		delete(h.probes, id)
+		c.tell(forkhead.Probed{Machine: h.id, Result: forkhead.TimedOut, Took: c.now - at})
+	}
+}
+
+func report(r *hostproto.Report) *forkhead.Report {
+	if r == nil {
+		return nil
+	}
+	return &forkhead.Report{
+		Cores: float64(r.Cores), Memory: float64(r.Memory), Queue: float64(r.Queue), Util: float64(r.Util),
+	}
+}
+
+// ---- Labels: each constraint in use is one bit.
+
+// labels numbers the constraints of the tasks that are held.
+type labels struct {
+	most  int
+	rows  [64]*labelRow
+	index map[string]int
+}
+
+type labelRow struct {
+	what  description.Constraint
+	users int
+}
+
+// of returns the bits of the constraints that a host meets.
+func (l *labels) of(e *HostEntry) uint64 {
+	bits := uint64(0)
+	for i, row := range l.rows {
+		if row != nil && meets(e, &row.what) {
+			bits |= 1 << i
+		}
+	}
+	return bits
+}
+
+func meets(e *HostEntry, c *description.Constraint) bool {
+	return (e.Attributes[c.Attribute] == c.Value) != c.Not
+}
+
+// take returns the bits of constraints and counts their users. ok is false if there are more
+// than the table holds; then nothing is counted.
+func (c *Core) takeLabels(constraints []description.Constraint) (bits uint64, ok bool) {
+	if len(constraints) == 0 {
+		return 0, true
+	}
+	l := &c.labels
+	if l.index == nil {
+		l.index = map[string]int{}
+	}
+	fresh := false
+	var taken []int
+	for _, con := range constraints {
+		name := con.String()
+		i, known := l.index[name]
+		if !known {
+			i = slices.Index(l.rows[:l.most], nil)
+			if i < 0 {
+				for _, j := range taken {
+					c.dropLabel(j)
+				}
+				return 0, false
+			}
+			l.rows[i] = &labelRow{what: con}
+			l.index[name] = i
+			fresh = true
+		}
+		if bits&(1<<i) != 0 {
+			continue // the same constraint twice
+		}
+		l.rows[i].users++
+		taken = append(taken, i)
+		bits |= 1 << i
+	}
+	if fresh {
+		c.relabel()
+	}
+	return bits, true
+}
+
+// dropLabels ends one use of each bit.
+func (c *Core) dropLabels(bits uint64) {
+	for i := range c.labels.rows {
+		if bits&(1<<i) != 0 {
+			c.dropLabel(i)
+		}
+	}
+}
+
+func (c *Core) dropLabel(i int) {
+	row := c.labels.rows[i]
+	if row.users--; row.users == 0 {
+		delete(c.labels.index, row.what.String())
+		c.labels.rows[i] = nil
+	}
+}
+
+// relabel tells the module of hosts that meet a constraint which nobody had asked for before.
+func (c *Core) relabel() {
+	var changed []forkhead.Machine
+	for _, h := range c.sorted() {
+		if bits := c.labels.of(&h.entry); bits != h.labels {
+			h.labels = bits
+			if h.listed {
+				changed = append(changed, h.machine())
+			}
+		}
+	}
+	if len(changed) > 0 {
+		c.tell(forkhead.Update{Mode: forkhead.ListDelta, Machines: changed})
+	}
+}
--- /dev/null
+++ b/internal/hostlink/hostlink.go
@@ -0,0 +1,169 @@
+// Package hostlink holds the states of a placer's connection to one host: when it is dialled,
+// greeted, up, down, and what the host's lives mean for what it held. It is pure: the shell
+// dials, writes and sets timers as it is told.
+package hostlink
+
+import "time"
+
+// State is the state of a link.
+type State uint8
+
+// The states.
+const (
+	Down     State = iota // nothing is under way; a retry is due if the host is listed
+	Dialling              // a connection is being made
+	Greeting              // Hello is written, Welcome awaited
+	Up                    // frames may be sent
+	states
+)
+
+var stateNames = [states]string{"Down", "Dialling", "Greeting", "Up"}
+
+// String names the state.
+func (s State) String() string { return stateNames[s] }
+
+// Kind is what can happen to a link.
+type Kind uint8
+
+// The kinds of input.
+const (
+	Listed   Kind = iota // the list names the host at Input.Address
+	Delisted             // the list no longer names it
+	Dialled              // connection Input.Conn is made
+	Welcomed             // the host greeted on Input.Conn with Input.Epoch
+	Broke                // connection Input.Conn failed, broke, or was closed
+	Retry                // the retry timer fired
+	Late                 // dialling or greeting on Input.Conn took too long
+	kinds
+)
+
+var kindNames = [kinds]string{"Listed", "Delisted", "Dialled", "Welcomed", "Broke", "Retry", "Late"}
+
+// String names the kind.
+func (k Kind) String() string { return kindNames[k] }
+
+// Input is one thing that happened.
+type Input struct {
+	Kind    Kind
+	Address string
+	Conn    uint32
+	Epoch   uint64
+}
+
+// Output is what follows, in this order.
+type Output struct {
+	Close   bool          // close connection Conn: it is the one that was in use
+	Closing uint32        // its number
+	Dial    bool          // dial Link.Address as connection Link.Conn
+	Greet   bool          // write Hello on Link.Conn
+	Broken  bool          // attempts on this link: Broke
+	Died    bool          // the host's earlier life ended: attempts made in it have died
+	Opened  bool          // frames may be sent from now on
+	Foreign bool          // the host greeted with a life earlier than one that is known
+	RetryIn time.Duration // > 0: set the retry timer
+	LateIn  time.Duration // > 0: set the timer for dialling and greeting, for Link.Conn
+}
+
+// Policy bounds waits.
+type Policy struct {
+	Connect time.Duration // dialling and greeting may take so long
+	First   time.Duration // mean wait before the first reconnect
+	Most    time.Duration // waits double up to this
+}
+
+// Link is one connection to a host, with what outlives it.
+type Link struct {
+	State    State
+	Listed   bool
+	Address  string
+	Conn     uint32 // number of the present or last connection; each dial has the next
+	Epoch    uint64 // of the host's last known life; 0: none yet
+	Failures int    // since it was last up
+}
+
+// On takes an input. random is in [0, 1) and spreads reconnects, so that placers which all lost
+// a host at one moment do not all come back at one.
+func (l *Link) On(in Input, p Policy, random float64) Output {
+	var out Output
+	switch in.Kind {
+	case Listed:
+		moved := l.Listed && l.Address != in.Address
+		fresh := !l.Listed
+		l.Listed, l.Address = true, in.Address
+		if moved {
+			l.drop(&out)
+			l.Failures = 0
+		}
+		if l.State == Down && (fresh || moved) {
+			l.dial(&out, p)
+		}
+	case Delisted:
+		// The link stays as it is: what runs there goes on being heard of. It is not made anew.
+		l.Listed = false
+		if l.State == Dialling || l.State == Greeting {
+			l.drop(&out)
+		}
+	case Dialled:
+		if l.State == Dialling && in.Conn == l.Conn {
+			l.State = Greeting
+			out.Greet = true
+		}
+	case Welcomed:
+		if l.State != Greeting || in.Conn != l.Conn {
+			break
+		}
+		if in.Epoch < l.Epoch {
+			// Guards against a host's earlier life that is still answering, on the same address or
+			// out of a buffer: it must not settle what belongs to the later one.
+			out.Foreign = true
+			l.drop(&out)
+			l.retry(&out, p, random)
+			break
+		}
+		if l.Epoch != 0 && in.Epoch > l.Epoch {
+			out.Died = true
+		}
+		l.Epoch, l.State, l.Failures = in.Epoch, Up, 0
+		out.Opened = true
+	case Broke:
+		if l.State == Down || in.Conn != l.Conn {
+			break
+		}
+		l.drop(&out)
+		out.Close = false // it is closed
+		l.retry(&out, p, random)
+	case Late:
+		if (l.State == Dialling || l.State == Greeting) && in.Conn == l.Conn {
+			l.drop(&out)
+			l.retry(&out, p, random)
+		}
+	case Retry:
+		if l.State == Down && l.Listed {
+			l.dial(&out, p)
+		}
+	}
+	return out
+}
+
+func (l *Link) dial(out *Output, p Policy) {
+	l.Conn++
+	l.State = Dialling
+	out.Dial, out.LateIn = true, p.Connect
+}
+
+func (l *Link) drop(out *Output) {
+	if l.State == Down {
+		return
+	}
+	out.Close, out.Closing, out.Broken = true, l.Conn, true
+	l.State = Down
+}
+
+func (l *Link) retry(out *Output, p Policy, random float64) {
+	if !l.Listed {
+		return
+	}
+	wait := min(p.First<<min(l.Failures, 16), p.Most)
+	l.Failures++
+	out.RetryIn = max(time.Duration(float64(wait)*(0.5+random)), time.Millisecond)
+}
--- /dev/null
+++ b/internal/hostproto/hostproto_test.go
@@ -0,0 +1,162 @@
+package hostproto
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func ms(t *rapid.T, name string) time.Duration {
+	return time.Duration(rapid.Uint32().Draw(t, name)) * time.Millisecond
+}
+
+func drawRef(t *rapid.T) Ref {
+	return Ref{rapid.Uint64().Draw(t, "epoch"), rapid.Uint32().Draw(t, "task"), rapid.Uint8().Draw(t, "attempt")}
+}
+
+func drawSpec(t *rapid.T) Spec {
+	return Spec{
+		Key: rapid.Uint64().Draw(t, "key"), Service: rapid.Uint64().Draw(t, "service"),
+		Name: rapid.StringN(0, 100, MostText).Draw(t, "name"), Class: rapid.StringN(0, 20, 80).Draw(t, "class"),
+		Effect: rapid.Uint8Range(0, 2).Draw(t, "effect"), Cores: rapid.Uint32().Draw(t, "cores"), Life: ms(t, "life"),
+	}
+}
+
+func drawReport(t *rapid.T) *Report {
+	if rapid.Bool().Draw(t, "reported") {
+		return &Report{Cores: rapid.Float32().Draw(t, "cores"), Queue: 3}
+	}
+	return nil
+}
+
+func drawFrame(t *rapid.T) Frame {
+	switch rapid.IntRange(0, 15).Draw(t, "frame") {
+	case 0:
+		return Hello{1, rapid.Uint16().Draw(t, "placer"), rapid.Uint64().Draw(t, "epoch"), rapid.Uint32().Draw(t, "conn")}
+	case 1:
+		payload := rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "payload")
+		if len(payload) == 0 {
+			payload = nil
+		}
+		return Offer{drawRef(t), ms(t, "wait"), drawSpec(t), payload}
+	case 2:
+		return Withdraw{drawRef(t)}
+	case 3:
+		return Stop{drawRef(t), ms(t, "grace")}
+	case 4:
+		return Probe{rapid.Uint32().Draw(t, "id")}
+	case 5:
+		refs := make([]Ref, rapid.IntRange(0, 20).Draw(t, "refs"))
+		for i := range refs {
+			refs[i] = drawRef(t)
+		}
+		return Query{refs}
+	case 6:
+		return Welcome{1, "host", rapid.Uint64().Draw(t, "epoch"), time.Duration(rapid.Int64Range(0, 1<<60).Draw(t, "started")), rapid.Bool().Draw(t, "drains"), 3}
+	case 7:
+		held := make([]Held, rapid.IntRange(0, 5).Draw(t, "held"))
+		for i := range held {
+			held[i] = Held{drawRef(t), Phase(rapid.IntRange(0, 2).Draw(t, "phase")), ms(t, "left"), drawSpec(t)}
+		}
+		return Holds{held}
+	case 8:
+		return Refused{drawRef(t), Reason(rapid.IntRange(0, 4).Draw(t, "reason")), drawReport(t)}
+	case 9:
+		return Accepted{drawRef(t)}
+	case 10:
+		return Running{drawRef(t)}
+	case 11:
+		return Note{drawRef(t), rapid.Uint8().Draw(t, "kind"), rapid.Float32().Draw(t, "amount")}
+	case 12:
+		return Ended{drawRef(t), Result(rapid.IntRange(0, 7).Draw(t, "result")), drawReport(t)}
+	case 13:
+		return Probed{rapid.Uint32().Draw(t, "id"), drawReport(t)}
+	case 14:
+		return Drain{rapid.Bool().Draw(t, "on")}
+	}
+	return Bye{rapid.StringN(0, 50, 200).Draw(t, "text")}
+}
+
+// Frames come out as they went in, however the stream is cut.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var want, got []Frame
+		var stream []byte
+		for range rapid.IntRange(1, 8).Draw(t, "frames") {
+			f := drawFrame(t)
+			want = append(want, f)
+			stream = Append(stream, f)
+		}
+		var d Decoder
+		for len(stream) > 0 {
+			n := min(rapid.IntRange(1, 60).Draw(t, "cut"), len(stream))
+			if err := d.Feed(stream[:n], func(f Frame) error { got = append(got, f); return nil }); err != nil {
+				t.Fatal(err)
+			}
+			stream = stream[n:]
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func TestFaults(t *testing.T) {
+	good := Append(nil, Offer{Ref: Ref{1, 2, 3}, Spec: Spec{Name: "a/b/1"}, Payload: []byte("{}")})
+	for name, c := range map[string]struct {
+		stream []byte
+		want   error
+	}{
+		"too long":         {[]byte{0xff, 0xff, 0xff, 0x7f, 1}, ErrTooLong},
+		"empty":            {[]byte{0, 0, 0, 0, 1}, ErrTruncated},
+		"unknown code":     {[]byte{1, 0, 0, 0, 99}, ErrCode},
+		"truncated":        {[]byte{3, 0, 0, 0, 2, 1, 1}, ErrTruncated},
+		"trailing":         {[]byte{6, 0, 0, 0, 5, 1, 1, 1, 1, 9}, ErrTrailing},
+		"truth value of 7": {[]byte{2, 0, 0, 0, 40, 7}, ErrValue},
+		"many refs":        {append([]byte{3, 0, 0, 0, 6}, 0xff, 0xff), ErrValue},
+		"many held":        {append([]byte{3, 0, 0, 0, 33}, 0xff, 0xff), ErrValue},
+		"after a good one": {append(append([]byte{}, good...), 1, 0, 0, 0, 99), ErrCode},
+	} {
+		var d Decoder
+		err := d.Feed(c.stream, func(Frame) error { return nil })
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+		if again := d.Feed(good, func(Frame) error { t.Errorf("%s: a frame behind a fault", name); return nil }); !errors.Is(again, c.want) {
+			t.Errorf("%s: the fault did not last", name)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Append(nil, Hello{1, 2, 3, 4}))
+	f.Add(Append(nil, Offer{Ref: Ref{1, 2, 3}, Spec: Spec{Name: "a/b/1"}, Payload: []byte("{}")}))
+	f.Add(Append(nil, Holds{[]Held{{Phase: Runs, Spec: Spec{Name: "x"}}}}))
+	f.Add([]byte{0xff, 0xff, 0, 0, 33})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var d Decoder
+		_ = d.Feed(data, func(f Frame) error {
+			again, err := Decode(Append(nil, f)[4:])
+			if err != nil {
+				t.Fatalf("%+v does not come back: %v", f, err)
+			}
+			_ = again
+			return nil
+		})
+		if len(d.rest) > MostFrame+4 {
+			t.Fatalf("%d bytes kept", len(d.rest))
+		}
+	})
+}
+
+func BenchmarkDecodeOffer(b *testing.B) {
+	p := Append(nil, Offer{Ref: Ref{1, 2, 3}, Spec: Spec{Name: "shop/web/1", Class: "web"}, Payload: []byte(`{"image":"web:1"}`)})
+	var d Decoder
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = d.Feed(p, func(Frame) error { return nil })
+	}
+}
