--- /dev/null
+++ b/cmd/forkhead/main.go
@@ -0,0 +1,10 @@
+// Forkhead is a scheduler that puts long-running work on the machines of a cluster.
+package main
+
+import (
+	"os"
+
+	"forkhead/internal/cli"
+)
+
+func main() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/badday/troubles.go
@@ -0,0 +1,270 @@
+package badday
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"forkhead/internal/catalogued"
+	"forkhead/internal/scene"
+	"forkhead/internal/script"
+	"forkhead/internal/standin"
+)
+
+// victims draws the hosts that a trouble strikes.
+func (p *player) victims(t *script.Trouble, rng *rand.Rand) []*scene.Host {
+	var from []*scene.Host
+	for _, h := range p.c.Hosts {
+		if (t.Zone == "" || h.Group.Zone == t.Zone) && (t.Rack == "" || h.Rack == t.Rack) {
+			from = append(from, h)
+		}
+	}
+	rng.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+	n := max(int(t.Hosts*float64(len(p.c.Hosts))+0.5), 1)
+	return from[:min(n, len(from))]
+}
+
+// repeat calls do every so often until the trouble is over.
+func (p *player) repeat(t *script.Trouble, do func()) {
+	for end := time.Now().Add(t.For); time.Now().Before(end); {
+		do()
+		if !p.sleep(t.Every) {
+			return
+		}
+	}
+}
+
+// revive brings hosts back, cold.
+func (p *player) revive(hosts []*scene.Host) {
+	for _, h := range hosts {
+		if err := h.Revive(true); err != nil {
+			p.opt.Log.Error().Err(err).Msg("a host does not come back")
+		}
+	}
+}
+
+// trouble plays one trouble to its end.
+func (p *player) trouble(t script.Trouble, rng *rand.Rand) {
+	hosts := p.victims(&t, rng)
+	with := func(do func(h *standin.Host, now time.Duration)) {
+		for _, h := range hosts {
+			h.With(func(host *standin.Host, now time.Duration) []standin.Output {
+				do(host, now)
+				return nil
+			})
+		}
+	}
+	switch t.Kind {
+	case script.Crash:
+		for _, h := range hosts {
+			h.Kill()
+		}
+		p.sleep(t.For)
+		p.revive(hosts)
+	case script.Vanish:
+		for _, h := range hosts {
+			h.Vanish()
+		}
+		p.sleep(t.For)
+		p.revive(hosts)
+	case script.Pauses:
+		p.repeat(&t, func() { with(func(h *standin.Host, now time.Duration) { h.Pause(now, t.Delay) }) })
+	case script.ReportLate:
+		// Reports are as late as registrations: hosts say what is free so much less often.
+		p.c.Catalogue.With(func(st *catalogued.Store, _ time.Duration) {
+			st.Lag(time.Duration(t.Factor * float64(p.s.Catalogue.Lag)))
+		})
+		p.sleep(t.For)
+		p.c.Catalogue.With(func(st *catalogued.Store, _ time.Duration) { st.Lag(p.s.Catalogue.Lag) })
+	case script.DiscoveryStale:
+		p.c.Catalogue.With(func(st *catalogued.Store, _ time.Duration) { st.Lag(t.Delay) })
+		p.sleep(t.For)
+		p.c.Catalogue.With(func(st *catalogued.Store, _ time.Duration) { st.Lag(p.s.Catalogue.Lag) })
+	case script.ListOutage:
+		p.c.Catalogue.Outage(true)
+		p.sleep(t.For)
+		p.c.Catalogue.Outage(false)
+	case script.ListFrozen:
+		p.c.Catalogue.With(func(st *catalogued.Store, now time.Duration) { st.Freeze(now, true) })
+		p.sleep(t.For)
+		p.c.Catalogue.With(func(st *catalogued.Store, now time.Duration) { st.Freeze(now, false) })
+	case script.Shrink:
+		for _, h := range hosts {
+			p.drain(h, true)
+			p.sleep(t.For / time.Duration(len(hosts)))
+			h.Kill()
+		}
+	case script.Deploy:
+		for _, h := range hosts {
+			p.drain(h, rng.IntN(2) == 0)
+			p.sleep(t.Delay)
+			h.Kill()
+			p.sleep(t.Delay / 2)
+			p.c.Catalogue.With(func(st *catalogued.Store, now time.Duration) { st.Maintain(now, h.Name(), false) })
+			p.revive([]*scene.Host{h})
+		}
+	case script.HotKey, script.Ageing:
+		steps := 1
+		if t.Kind == script.Ageing {
+			steps = 4
+		}
+		for i := range steps {
+			factor := 1 + (t.Factor-1)*float64(i+1)/float64(steps)
+			with(func(h *standin.Host, now time.Duration) { h.Slow(now, t.For, factor) })
+			p.sleep(t.For / time.Duration(steps))
+		}
+		if t.Kind == script.Ageing {
+			for _, h := range hosts {
+				h.Kill()
+			}
+			p.sleep(t.Every)
+			p.revive(hosts)
+		}
+	case script.ZoneLoss:
+		t.Hosts = 1
+		hosts = p.victims(&t, rng)
+		var placers []int
+		for i, pl := range p.s.Settings.Placers {
+			if pl.Zone == t.Zone {
+				placers = append(placers, i)
+			}
+		}
+		for _, h := range hosts {
+			h.Vanish()
+		}
+		for _, i := range placers {
+			p.c.KillPlacer(i)
+		}
+		p.sleep(t.For)
+		p.revive(hosts)
+		p.startPlacers(placers)
+	case script.MassRestart:
+		t.Hosts = 1
+		if t.Rack == "" {
+			t.Rack = t.Zone + "-r0"
+		}
+		hosts = p.victims(&t, rng)
+		for _, h := range hosts {
+			h.Kill()
+		}
+		p.sleep(t.For)
+		p.revive(hosts)
+	case script.Burst:
+		p.burst.Store(uint64(1000 * t.Factor))
+		p.sleep(t.For)
+		p.burst.Store(1000)
+	case script.Reconnect:
+		p.reconnect(&t, rng)
+	case script.ClassFail:
+		with(func(h *standin.Host, now time.Duration) { h.Mute(now, t.For, t.Class) })
+	case script.Refuse:
+		with(func(h *standin.Host, now time.Duration) { h.Refuse(now, t.For, t.Class) })
+	case script.DieMidStart, script.DieAfterBind:
+		at := standin.MidStart
+		if t.Kind == script.DieAfterBind {
+			at = standin.AfterBind
+		}
+		with(func(h *standin.Host, _ time.Duration) { h.DieAt(at) })
+		p.sleep(t.For)
+		with(func(h *standin.Host, _ time.Duration) { h.DieAt(standin.Nowhere) })
+		p.revive(hosts)
+	case script.PlacerStall:
+		p.repeat(&t, func() {
+			for i := range p.c.Placers() {
+				if pl := p.c.Placer(i); pl != nil && (t.Placer < 0 || t.Placer == i) {
+					pl.Stall(t.Delay)
+				}
+			}
+		})
+	case script.PlacerKill:
+		i := max(t.Placer, 0)
+		p.c.KillPlacer(i)
+		p.sleep(t.For)
+		p.startPlacers([]int{i})
+	case script.Cut:
+		p.repeat(&t, func() {
+			for _, h := range hosts {
+				h.Cut(t.Placer, false)
+			}
+		})
+	case script.HalfOpen:
+		for _, h := range hosts {
+			h.Cut(t.Placer, true)
+		}
+	case script.Tear:
+		p.repeat(&t, func() {
+			for _, h := range hosts {
+				h.Tear()
+			}
+		})
+	case script.LateFrames:
+		for _, h := range hosts {
+			h.Late(t.Delay)
+		}
+		p.sleep(t.For)
+		for _, h := range hosts {
+			h.Late(0)
+		}
+	case script.TellLoss:
+		p.c.Loss.Store(uint64(1000 * min(t.Factor, 1)))
+		p.sleep(t.For)
+		p.c.Loss.Store(0)
+	case script.ClientCut:
+		p.cut.Store(true)
+		p.sleep(t.For)
+		p.cut.Store(false)
+	case script.SlowReader:
+		p.slow.Store(true)
+		p.sleep(t.For)
+		p.slow.Store(false)
+	}
+}
+
+// drain makes a host drain by its own word and by the catalogue's.
+func (p *player) drain(h *scene.Host, sendAway bool) {
+	p.c.Catalogue.With(func(st *catalogued.Store, now time.Duration) { st.Maintain(now, h.Name(), true) })
+	h.With(func(host *standin.Host, now time.Duration) []standin.Output { return host.Drain(now, true, sendAway) })
+}
+
+func (p *player) startPlacers(which []int) {
+	for _, i := range which {
+		if err := p.c.StartPlacer(i); err != nil {
+			p.opt.Log.Error().Err(err).Msg("a placer does not come back")
+		}
+	}
+}
+
+// reconnect lets owners end some of the projects that live and ask for all of each again.
+func (p *player) reconnect(t *script.Trouble, rng *rand.Rand) {
+	p.live.Lock()
+	var names []string
+	for name := range p.live.v {
+		names = append(names, name)
+	}
+	picked := map[string]project{}
+	for _, name := range names {
+		if rng.Float64() < t.Factor {
+			picked[name] = p.live.v[name]
+		}
+	}
+	p.live.Unlock()
+	client := &http.Client{Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	for name, pr := range picked {
+		ctx, cancel := context.WithTimeout(p.ctx, 5*time.Second)
+		at := fmt.Sprintf("http://%s/v1/projects/%s", p.c.Settings.Placers[pr.placer].HTTP, name)
+		if req, err := http.NewRequestWithContext(ctx, http.MethodDelete, at, nil); err == nil {
+			if resp, err := client.Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+		cancel()
+		p.wait.Add(1)
+		go func() {
+			defer p.wait.Done()
+			p.submit(pr.placer, name, pr, 1)
+		}()
+	}
+}
--- a/internal/core/sim_test.go
+++ b/internal/core/sim_test.go
@@ -66,10 +66,12 @@
 
 type simQueue []simEvent
 
-func (q simQueue) Len() int           { return len(q) }
-func (q simQueue) Less(i, j int) bool { return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq }
-func (q simQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)        { *q = append(*q, x.(simEvent)) }
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
 func (q *simQueue) Pop() any {
 	old := *q
 	e := old[len(old)-1]
--- /dev/null
+++ b/internal/hostd/hostd.go
@@ -0,0 +1,520 @@
+// Package hostd puts a stand-in host on sockets: it carries frames and time to package standin,
+// registers with the catalogue, records the traffic, and does to connections what a script says.
+package hostd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"forkhead/internal/catalogue"
+	"forkhead/internal/clock"
+	"forkhead/internal/core"
+	"forkhead/internal/description"
+	"forkhead/internal/hostproto"
+	"forkhead/internal/loop"
+	"forkhead/internal/netio"
+	"forkhead/internal/record"
+	"forkhead/internal/standin"
+)
+
+// Config is where a host lives.
+type Config struct {
+	Host      standin.Config
+	Listen    string // ADDRESS:PORT; port 0: any
+	Catalogue string // "": it registers nowhere
+	Service   string
+	Refresh   time.Duration // between registrations
+	Seed      uint64
+	Cold      bool // its first life has just begun, too
+	Clock     *clock.Clock
+	Engine    *netio.Engine
+	Log       *record.Log
+}
+
+const (
+	mostUnwritten = 4 << 20
+	mostJobs      = 10_000
+)
+
+// Server is a host with its lives.
+type Server struct {
+	cfg    Config
+	rng    *rand.Rand
+	client *http.Client
+
+	loop *loop.Loop
+	life *standin.Host // nil: down
+	num  uint64
+	ln   net.Listener
+	addr string // stays the same over lives
+	deaf bool   // silent: nothing is read or written, connections stay
+	mute map[*conn]bool
+	out  time.Duration // frames leave this much later
+	torn bool          // the next frame that leaves is cut in the middle
+
+	conns map[standin.ConnID]*conn
+	next  standin.ConnID
+	reg   time.Duration // next registration
+
+	stopped  sync.Once
+	register chan core.HostEntry
+	ended    chan struct{}
+	wait     sync.WaitGroup
+}
+
+type conn struct {
+	s      *Server
+	id     standin.ConnID
+	c      *netio.Conn
+	dec    hostproto.Decoder
+	buf    []byte
+	placer int
+	epoch  uint64
+}
+
+// Start brings a host up.
+func Start(cfg Config) (*Server, error) {
+	if cfg.Refresh <= 0 {
+		cfg.Refresh = 500 * time.Millisecond
+	}
+	s := &Server{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), conns: map[standin.ConnID]*conn{}, mute: map[*conn]bool{},
+		client: &http.Client{Timeout: 2 * time.Second}, addr: cfg.Listen,
+		register: make(chan core.HostEntry, 1), ended: make(chan struct{}),
+	}
+	s.loop = loop.New(cfg.Clock, mostJobs, s.step)
+	var err error
+	s.loop.Call(func() { err = s.up(cfg.Cold) })
+	if err != nil {
+		s.loop.Stop()
+		return nil, err
+	}
+	s.wait.Add(1)
+	go s.registrar()
+	return s, nil
+}
+
+// Address is where the host listens.
+func (s *Server) Address() (addr string) {
+	s.loop.Call(func() { addr = s.addr })
+	return addr
+}
+
+// Name is the host's name.
+func (s *Server) Name() string { return s.cfg.Host.Name }
+
+// Stop takes the host down for good.
+func (s *Server) Stop() {
+	s.stopped.Do(func() {
+		s.loop.Call(func() { s.down(false) })
+		s.loop.Stop()
+		close(s.ended)
+		s.wait.Wait()
+		s.client.CloseIdleConnections()
+	})
+}
+
+// With runs f on the host's goroutine with its present life, or nil, and carries out what f
+// returns.
+func (s *Server) With(f func(h *standin.Host, now time.Duration) []standin.Output) {
+	s.loop.Call(func() {
+		now := s.cfg.Clock.Now()
+		if s.life != nil {
+			s.carry(f(s.life, now))
+		}
+	})
+}
+
+// Look returns how the host stands.
+func (s *Server) Look() (up, fell bool, running int) {
+	s.loop.Call(func() {
+		if s.life != nil {
+			up, fell, running = true, s.life.Fell(), s.life.Running()
+		}
+	})
+	return up, fell, running
+}
+
+// Kill ends the host's life with resets, as when its process is killed.
+func (s *Server) Kill() { s.loop.Call(func() { s.down(true) }) }
+
+// Vanish ends the host's life without a word: connections stay open, nothing answers.
+func (s *Server) Vanish() {
+	s.loop.Call(func() {
+		if s.life == nil {
+			return
+		}
+		s.ends()
+		s.deaf = true
+	})
+}
+
+// Revive begins a new life.
+func (s *Server) Revive(cold bool) error {
+	var err error
+	s.loop.Call(func() {
+		if s.life != nil {
+			return
+		}
+		s.down(true)
+		err = s.up(cold)
+	})
+	return err
+}
+
+// Cut resets the connections of a placer, or of all for -1. Half leaves them open and deaf.
+func (s *Server) Cut(placer int, half bool) {
+	s.loop.Call(func() {
+		for _, c := range s.conns {
+			if placer >= 0 && c.placer != placer {
+				continue
+			}
+			if half {
+				s.mute[c] = true
+			} else {
+				c.c.Reset()
+			}
+		}
+	})
+}
+
+// Late makes frames leave so much later.
+func (s *Server) Late(d time.Duration) { s.loop.Call(func() { s.out = d }) }
+
+// Tear cuts the next frame that leaves in the middle and closes its connection.
+func (s *Server) Tear() { s.loop.Call(func() { s.torn = true }) }
+
+// up begins a life.
+func (s *Server) up(cold bool) error {
+	s.num++
+	now := s.cfg.Clock.Now()
+	var ln net.Listener
+	var err error
+	for try := 0; ; try++ { // the port may still be held by what is closing
+		ln, err = s.cfg.Engine.Listen(s.addr, mostUnwritten, s.accept)
+		if err == nil || try == 50 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err != nil {
+		return fmt.Errorf("host %s: %w", s.cfg.Host.Name, err)
+	}
+	s.ln, s.addr = ln, ln.Addr().String()
+	// Epochs grow over restarts of this process too: they hold the time.
+	s.life = standin.New(s.cfg.Host, uint64(now.Microseconds())+s.num, s.cfg.Seed+s.num, now, cold)
+	s.deaf, s.reg = false, now
+	s.log(record.Event{What: record.HostUp, Cold: cold, Zone: s.cfg.Host.Zone, Rack: s.cfg.Host.Rack})
+	return nil
+}
+
+// ends notes the end of the life in hand.
+func (s *Server) ends() {
+	if s.life == nil {
+		return
+	}
+	if s.life.Fell() {
+		s.log(record.Event{What: record.Fell})
+	}
+	s.log(record.Event{What: record.HostDown})
+	s.life = nil
+}
+
+func (s *Server) down(reset bool) {
+	s.ends()
+	if s.ln != nil {
+		_ = s.ln.Close()
+		s.ln = nil
+	}
+	for _, c := range s.conns {
+		if reset {
+			c.c.Reset()
+		} else {
+			c.c.Close()
+		}
+	}
+}
+
+func (s *Server) log(e record.Event) {
+	if s.cfg.Log == nil {
+		return
+	}
+	e.At, e.Host = s.cfg.Clock.Now(), s.cfg.Host.Name
+	if s.life != nil {
+		e.Epoch = s.life.Epoch()
+	}
+	s.cfg.Log.Add(e)
+}
+
+// ---- Connections.
+
+func (s *Server) accept(c *netio.Conn) netio.Handler {
+	h := &conn{s: s, c: c, placer: -1}
+	if !s.loop.Do(func() {
+		s.next++
+		h.id = s.next
+		s.conns[h.id] = h
+		if s.life != nil && !s.deaf {
+			s.carry(s.life.Opened(s.cfg.Clock.Now(), h.id))
+		}
+	}) {
+		return nil
+	}
+	return h
+}
+
+// Data takes bytes from a placer.
+func (h *conn) Data(_ *netio.Conn, p []byte) {
+	var frames []hostproto.Frame
+	err := h.dec.Feed(p, func(f hostproto.Frame) error {
+		frames = append(frames, f)
+		return nil
+	})
+	at := h.s.cfg.Clock.Now()
+	h.s.loop.Wait(func() {
+		for _, f := range frames {
+			h.s.frame(h, f, at)
+		}
+		if err != nil && h.s.life != nil {
+			h.s.carry(h.s.life.Bad(h.s.cfg.Clock.Now(), h.id, err.Error()))
+		}
+	})
+}
+
+// Closed takes the end of a connection.
+func (h *conn) Closed(*netio.Conn, error) {
+	h.s.loop.Do(func() {
+		s := h.s
+		if s.conns[h.id] != h {
+			return
+		}
+		delete(s.conns, h.id)
+		delete(s.mute, h)
+		if h.placer >= 0 {
+			s.log(record.Event{What: record.Gone, Placer: h.placer, PlacerEpoch: h.epoch, Conn: uint64(h.id)})
+		}
+		if s.life != nil {
+			s.carry(s.life.Closed(s.cfg.Clock.Now(), h.id))
+		}
+	})
+}
+
+// frame takes a frame that was read at a time.
+func (s *Server) frame(h *conn, f hostproto.Frame, at time.Duration) {
+	if s.life == nil || s.deaf || s.mute[h] || s.conns[h.id] != h {
+		return
+	}
+	if hello, ok := f.(hostproto.Hello); ok {
+		h.placer, h.epoch = int(hello.Placer), hello.Epoch
+	}
+	s.came(h, f, at)
+	s.carry(s.life.Frame(s.cfg.Clock.Now(), h.id, f))
+}
+
+func (s *Server) came(h *conn, f hostproto.Frame, at time.Duration) {
+	if s.cfg.Log == nil {
+		return
+	}
+	e := record.Event{At: at, Host: s.cfg.Host.Name, Epoch: s.life.Epoch(), Placer: h.placer, PlacerEpoch: h.epoch, Conn: uint64(h.id)}
+	switch f := f.(type) {
+	case hostproto.Hello:
+		e.What = record.Hello
+	case hostproto.Offer:
+		e.What, e.Key, e.Service, e.Name, e.Class = record.Offer, f.Spec.Key, f.Spec.Service, f.Spec.Name, f.Spec.Class
+		setRef(&e, f.Ref)
+	case hostproto.Withdraw:
+		e.What = record.Withdraw
+		setRef(&e, f.Ref)
+	case hostproto.Stop:
+		e.What = record.Stop
+		setRef(&e, f.Ref)
+	default:
+		return
+	}
+	s.cfg.Log.Add(e)
+}
+
+func (s *Server) left(h *conn, f hostproto.Frame) {
+	if s.cfg.Log == nil {
+		return
+	}
+	e := record.Event{At: s.cfg.Clock.Now(), Host: s.cfg.Host.Name, Placer: h.placer, PlacerEpoch: h.epoch, Conn: uint64(h.id)}
+	if s.life != nil {
+		e.Epoch = s.life.Epoch()
+	}
+	switch f := f.(type) {
+	case hostproto.Refused:
+		e.What = record.Refused
+		setRef(&e, f.Ref)
+	case hostproto.Accepted:
+		e.What = record.Accepted
+		setRef(&e, f.Ref)
+	case hostproto.Running:
+		e.What = record.Running
+		setRef(&e, f.Ref)
+	case hostproto.Ended:
+		e.What, e.Result = record.Ended, resultNames[f.Result]
+		setRef(&e, f.Ref)
+	case hostproto.Drain:
+		e.What, e.On = record.Drain, f.On
+	case hostproto.Welcome:
+		if !f.Draining {
+			return
+		}
+		e.What, e.On = record.Drain, true
+	default:
+		return
+	}
+	s.cfg.Log.Add(e)
+}
+
+var resultNames = [...]string{"done", "failed", "evicted", "pushed-out", "sent-away", "stopped", "called", "forgotten"}
+
+func setRef(e *record.Event, r hostproto.Ref) {
+	e.RefEpoch, e.Task, e.Attempt = r.Epoch, r.Task, r.Attempt
+}
+
+// ---- Time.
+
+// step moves the host's life on and writes what is to be written.
+func (s *Server) step(now time.Duration) (time.Duration, bool) {
+	if s.life == nil {
+		return 0, false
+	}
+	s.carry(s.life.Step(now))
+	if s.life == nil {
+		return 0, false
+	}
+	if now >= s.reg {
+		s.reg = now + time.Duration(float64(s.cfg.Refresh)*(0.8+0.4*s.rng.Float64()))
+		s.announce()
+	}
+	next := s.reg
+	if at, ok := s.life.Next(); ok {
+		next = min(next, at)
+	}
+	return next, true
+}
+
+// carry writes what the host does, one write a connection.
+func (s *Server) carry(out []standin.Output) {
+	var touched []*conn
+	for _, o := range out {
+		h := s.conns[o.Conn]
+		if h == nil || s.deaf || s.mute[h] {
+			continue
+		}
+		if o.Frame == nil {
+			s.flush(h)
+			h.c.Close()
+			continue
+		}
+		s.left(h, o.Frame)
+		if len(h.buf) == 0 {
+			touched = append(touched, h)
+		}
+		h.buf = hostproto.Append(h.buf, o.Frame)
+	}
+	for _, h := range touched {
+		s.flush(h)
+	}
+	if s.life != nil && s.life.Dead() {
+		s.down(true)
+	}
+}
+
+func (s *Server) flush(h *conn) {
+	if len(h.buf) == 0 {
+		return
+	}
+	if s.torn {
+		s.torn = false
+		_ = h.c.Write(h.buf[:len(h.buf)/2])
+		h.buf = h.buf[:0]
+		h.c.Close()
+		return
+	}
+	if s.out > 0 {
+		late := append([]byte(nil), h.buf...)
+		time.AfterFunc(s.out, func() { _ = h.c.Write(late) })
+	} else {
+		_ = h.c.Write(h.buf) // a failed write closes the connection, which is heard of by Closed
+	}
+	h.buf = h.buf[:0]
+}
+
+// ---- The catalogue.
+
+// entry is the host as it registers.
+func (s *Server) entry() core.HostEntry {
+	cfg := &s.cfg.Host
+	e := core.HostEntry{
+		Name: cfg.Name, Address: s.addr, Kind: cfg.Kind, Zone: cfg.Zone, Rack: cfg.Rack, Started: s.life.Started(),
+		Attributes: map[description.Attribute]string{},
+	}
+	for k, v := range cfg.Labels {
+		e.Attributes[description.Attribute("label."+k)] = v
+	}
+	e.FreeCores, e.FreeMemory = s.life.Free()
+	return e
+}
+
+// announce hands the registrar the newest entry; one that it has not sent yet is replaced.
+func (s *Server) announce() {
+	if s.cfg.Catalogue == "" {
+		return
+	}
+	select {
+	case <-s.register:
+	default:
+	}
+	select {
+	case s.register <- s.entry():
+	default:
+	}
+}
+
+func (s *Server) registrar() {
+	defer s.wait.Done()
+	for {
+		select {
+		case <-s.ended:
+			return
+		case e := <-s.register:
+			// A registration that fails is made again by the next refresh.
+			_ = s.put(&e)
+		}
+	}
+}
+
+func (s *Server) put(e *core.HostEntry) error {
+	reg, err := catalogue.Registered(e, s.cfg.Service)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(reg)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+s.cfg.Catalogue+"/v1/catalog/register", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<16))
+	return nil
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,123 @@
+// Package loop runs a pure core on one goroutine: jobs come from any goroutine, and the core is
+// stepped after each batch of them and when its next timer is due.
+package loop
+
+import (
+	"sync"
+	"time"
+
+	"forkhead/internal/clock"
+)
+
+// Step is called on the loop's goroutine after a batch of jobs, or when the time that it last
+// returned has come. It returns when it wants to be called next; ok is false for not at all.
+type Step func(now time.Duration) (next time.Duration, ok bool)
+
+// Loop is one such goroutine.
+type Loop struct {
+	clock *clock.Clock
+	step  Step
+	most  int
+
+	mu    sync.Mutex
+	space *sync.Cond
+	jobs  []func()
+	ended bool
+	wake  chan struct{}
+	done  chan struct{}
+}
+
+// New starts a loop. Producers that wait are held back while most jobs are queued.
+func New(c *clock.Clock, most int, step Step) *Loop {
+	l := &Loop{clock: c, step: step, most: most, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	l.space = sync.NewCond(&l.mu)
+	go l.run()
+	return l
+}
+
+// Do queues a job without waiting: for what the loop itself causes, and what is bounded elsewhere.
+// A job queued after Stop is dropped, and false returned.
+func (l *Loop) Do(job func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.put(job)
+}
+
+// Wait queues a job, and first waits until there is space. It must not be called from a job.
+func (l *Loop) Wait(job func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.jobs) >= l.most && !l.ended {
+		l.space.Wait()
+	}
+	return l.put(job)
+}
+
+func (l *Loop) put(job func()) bool {
+	if l.ended {
+		return false
+	}
+	l.jobs = append(l.jobs, job)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// Call runs a job on the loop and waits for it. It returns false if the loop has ended.
+func (l *Loop) Call(job func()) bool {
+	ran := make(chan struct{})
+	if !l.Do(func() { job(); close(ran) }) {
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Stop ends the loop after the job in hand and waits for it. Queued jobs are dropped.
+func (l *Loop) Stop() {
+	l.mu.Lock()
+	l.ended = true
+	l.jobs = nil
+	l.space.Broadcast()
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	<-l.done
+}
+
+func (l *Loop) run() {
+	defer close(l.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		jobs, ended := l.jobs, l.ended
+		l.jobs = nil
+		l.space.Broadcast()
+		l.mu.Unlock()
+		if ended {
+			return
+		}
+		for _, job := range jobs {
+			job()
+		}
+		next, ok := l.step(l.clock.Now())
+		if ok {
+			timer.Reset(l.clock.Until(next))
+			select {
+			case <-l.wake:
+			case <-timer.C:
+			}
+		} else {
+			<-l.wake
+		}
+	}
+}
--- /dev/null
+++ b/internal/netio/netio.go
@@ -0,0 +1,239 @@
+// Package netio is the program's stream sockets, on lesismal/nbio: listeners that can be closed
+// one by one, dialling, and connections whose unwritten bytes are counted and bounded.
+package netio
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+func init() { logging.SetLevel(logging.LevelNone) } // what matters comes back as errors
+
+// Handler takes what happens on a connection. Data comes from one goroutine at a time and must
+// not keep p. Closed comes once; Data may still be running then.
+type Handler interface {
+	Data(c *Conn, p []byte)
+	Closed(c *Conn, err error)
+}
+
+// Drainer is a Handler that wants to hear when all that was written has gone out. Drained must
+// not use the connection: it is called within its writes.
+type Drainer interface{ Drained(c *Conn) }
+
+// Opener is a Handler that wants to hear when its accepted connection may be used. Data may come
+// before; accept itself must not use the connection.
+type Opener interface{ Opened(c *Conn) }
+
+// ErrFull means that a connection's reader does not keep up: it has been closed.
+var ErrFull = errors.New("too much is waiting to be written")
+
+// Engine runs connections.
+type Engine struct {
+	eng  *nbio.Engine
+	mu   sync.Mutex
+	lns  map[net.Listener]bool
+	wait sync.WaitGroup
+	done bool
+}
+
+// Conn is one connection.
+type Conn struct {
+	nb      *nbio.Conn
+	handler Handler
+	most    int64
+	pending atomic.Int64
+	closed  atomic.Bool
+	once    sync.Once
+}
+
+// New starts an engine with so many polling goroutines.
+func New(name string, pollers int) (*Engine, error) {
+	e := &Engine{lns: map[net.Listener]bool{}}
+	e.eng = nbio.NewEngine(nbio.Config{Name: name, NPoller: pollers, ReadBufferSize: 32 << 10})
+	e.eng.OnData(func(nb *nbio.Conn, p []byte) {
+		if c, ok := nb.Session().(*Conn); ok && !c.closed.Load() {
+			c.handler.Data(c, p)
+		}
+	})
+	e.eng.OnClose(func(nb *nbio.Conn, err error) {
+		if c, ok := nb.Session().(*Conn); ok {
+			c.end(err)
+		}
+	})
+	e.eng.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
+		if c, ok := nb.Session().(*Conn); ok && c.pending.Add(int64(-n)) == 0 {
+			if d, ok := c.handler.(Drainer); ok {
+				d.Drained(c)
+			}
+		}
+	})
+	if err := e.eng.Start(); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// Stop closes all listeners and connections and waits for the goroutines.
+func (e *Engine) Stop() {
+	e.mu.Lock()
+	e.done = true
+	for ln := range e.lns {
+		_ = ln.Close()
+	}
+	e.mu.Unlock()
+	e.wait.Wait()
+	e.eng.Stop()
+}
+
+// Listen accepts connections at an address until the listener or the engine is closed. accept
+// returns the handler of a new connection, or nil to close it; most bounds its unwritten bytes.
+func (e *Engine) Listen(address string, most int, accept func(c *Conn) Handler) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.done {
+		_ = ln.Close()
+		return nil, net.ErrClosed
+	}
+	e.lns[ln] = true
+	e.wait.Add(1)
+	go func() {
+		defer e.wait.Done()
+		defer func() {
+			e.mu.Lock()
+			delete(e.lns, ln)
+			e.mu.Unlock()
+		}()
+		for {
+			raw, err := ln.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(10 * time.Millisecond) // out of descriptors: connections wait in the backlog
+				continue
+			}
+			e.adopt(raw, most, accept)
+		}
+	}()
+	return ln, nil
+}
+
+func (e *Engine) adopt(raw net.Conn, most int, accept func(c *Conn) Handler) {
+	nb, err := nbio.NBConn(raw)
+	if err != nil {
+		_ = raw.Close()
+		return
+	}
+	c := &Conn{nb: nb, most: int64(most)}
+	if c.handler = accept(c); c.handler == nil {
+		_ = nb.Close()
+		return
+	}
+	nb.SetSession(c)
+	if _, err := e.eng.AddConn(nb); err != nil {
+		c.end(err)
+		_ = nb.Close()
+		return
+	}
+	if o, ok := c.handler.(Opener); ok {
+		o.Opened(c)
+	}
+}
+
+// Dial makes a connection; opened is called with it, or with the error, on another goroutine.
+func (e *Engine) Dial(address string, timeout time.Duration, most int, handler Handler, opened func(*Conn, error)) {
+	e.mu.Lock()
+	if e.done {
+		e.mu.Unlock()
+		go opened(nil, net.ErrClosed)
+		return
+	}
+	e.wait.Add(1)
+	e.mu.Unlock()
+	go func() {
+		defer e.wait.Done()
+		raw, err := net.DialTimeout("tcp", address, timeout)
+		if err != nil {
+			opened(nil, err)
+			return
+		}
+		nb, err := nbio.NBConn(raw)
+		if err != nil {
+			_ = raw.Close()
+			opened(nil, err)
+			return
+		}
+		c := &Conn{nb: nb, handler: handler, most: int64(most)}
+		nb.SetSession(c)
+		if _, err := e.eng.AddConn(nb); err != nil {
+			_ = nb.Close()
+			opened(nil, err)
+			return
+		}
+		opened(c, nil)
+	}()
+}
+
+// end tells the handler, once, that the connection is gone.
+func (c *Conn) end(err error) {
+	c.closed.Store(true)
+	c.once.Do(func() { c.handler.Closed(c, err) })
+}
+
+// Write queues bytes. It closes the connection if more wait than its bound.
+func (c *Conn) Write(p []byte) error {
+	if c.closed.Load() {
+		return net.ErrClosed
+	}
+	if c.pending.Add(int64(len(p))) > c.most {
+		c.CloseWith(ErrFull)
+		return ErrFull
+	}
+	if _, err := c.nb.Write(p); err != nil {
+		return err
+	}
+	return nil
+}
+
+// Gone says whether the connection is closed.
+func (c *Conn) Gone() bool { return c.closed.Load() }
+
+// Pending is how many bytes wait to be written.
+func (c *Conn) Pending() int { return int(c.pending.Load()) }
+
+// Close closes the connection; Closed of its handler follows.
+func (c *Conn) Close() { c.CloseWith(nil) }
+
+// CloseWith closes the connection and gives Closed the reason.
+func (c *Conn) CloseWith(err error) {
+	_ = c.nb.CloseWithError(err)
+	c.end(err)
+}
+
+// Reset closes the connection so that the other end sees a reset, and what is queued is lost.
+func (c *Conn) Reset() {
+	_ = c.nb.SetLinger(1, 0)
+	c.Close()
+}
+
+// Deadline closes the connection if nothing has come by then; 0 takes that back.
+func (c *Conn) Deadline(d time.Duration) {
+	t := time.Time{}
+	if d > 0 {
+		t = time.Now().Add(d)
+	}
+	_ = c.nb.SetReadDeadline(t)
+}
+
+// Remote is the other end's address.
+func (c *Conn) Remote() string { return c.nb.RemoteAddr().String() }
--- /dev/null
+++ b/internal/placerd/placerd.go
@@ -0,0 +1,371 @@
+// Package placerd puts a placer's core on sockets: connections to hosts, the HTTP front, the
+// watch on the catalogue and datagrams between placers. It carries and decides nothing.
+package placerd
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"forkhead"
+	"forkhead/internal/clock"
+	"forkhead/internal/core"
+	"forkhead/internal/hostproto"
+	"forkhead/internal/listwatch"
+	"forkhead/internal/loop"
+	"forkhead/internal/netio"
+	"forkhead/internal/settings"
+)
+
+// Config is what a placer runs with.
+type Config struct {
+	Settings *settings.Settings // by For
+	Clock    *clock.Clock
+	Log      zerolog.Logger
+	Seed     uint64
+	Epoch    uint64 // 0: by the clock
+	// Drop loses a message from another placer, for tests; nil: none.
+	Drop func(from int) bool
+	// Decide stands in the module's place, for tests of the guard and the checker.
+	Decide func(now time.Duration, events []forkhead.Event) []forkhead.Action
+}
+
+const (
+	mostJobs      = 20_000
+	mostUnwritten = 8 << 20 // bytes waiting for one host
+	mostDatagram  = 512
+)
+
+// Server is a running placer.
+type Server struct {
+	cfg    Config
+	set    *settings.Settings
+	log    zerolog.Logger
+	clock  *clock.Clock
+	engine *netio.Engine
+	loop   *loop.Loop
+	core   *core.Core
+
+	inputs []core.Input         // of the batch in hand
+	links  map[string]*hostConn // by host
+	dirty  []*hostConn
+	watch  *listwatch.Watch
+	asked  bool // the core has subscribed, and no watch runs
+
+	front   net.Listener
+	conns   atomic.Int64
+	follows map[string]map[*stream]bool // by submission
+	await   map[uint64]*exchange        // requests that the core has not answered
+	request uint64
+
+	tell     net.PacketConn
+	peers    []net.Addr
+	wait     sync.WaitGroup
+	stopping atomic.Bool
+	stopOnce sync.Once
+}
+
+// Start begins to serve. The front and the datagram socket are open when it returns.
+func Start(cfg Config) (*Server, error) {
+	set := cfg.Settings
+	self := set.Module.Self
+	if cfg.Clock == nil {
+		cfg.Clock = clock.New()
+	}
+	if cfg.Epoch == 0 {
+		cfg.Epoch = uint64(cfg.Clock.Now().Microseconds())
+	}
+	c, err := core.New(core.Config{Settings: set, Seed: cfg.Seed, Epoch: cfg.Epoch, Decide: cfg.Decide})
+	if err != nil {
+		return nil, err
+	}
+	engine, err := netio.New(fmt.Sprintf("placer-%d", self), 2)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		cfg: cfg, set: set, log: cfg.Log.With().Int("placer", self).Logger(), clock: cfg.Clock, engine: engine, core: c,
+		links: map[string]*hostConn{}, follows: map[string]map[*stream]bool{}, await: map[uint64]*exchange{},
+	}
+	if err := s.listen(self); err != nil {
+		engine.Stop()
+		return nil, err
+	}
+	s.loop = loop.New(cfg.Clock, mostJobs, s.step)
+	s.wait.Add(1)
+	go s.hear()
+	s.front, err = engine.Listen(set.Placers[self].HTTP, set.Limits.Buffer+(1<<20), s.accept)
+	if err != nil {
+		s.Kill()
+		return nil, fmt.Errorf("front: %w", err)
+	}
+	return s, nil
+}
+
+func (s *Server) listen(self int) error {
+	var err error
+	if s.tell, err = net.ListenPacket("udp", s.set.Placers[self].Tell); err != nil {
+		return fmt.Errorf("messages between placers: %w", err)
+	}
+	for _, p := range s.set.Placers {
+		addr, err := net.ResolveUDPAddr("udp", p.Tell)
+		if err != nil {
+			_ = s.tell.Close()
+			return fmt.Errorf("messages between placers: %w", err)
+		}
+		s.peers = append(s.peers, addr)
+	}
+	return nil
+}
+
+// Address is where the front listens.
+func (s *Server) Address() string { return s.front.Addr().String() }
+
+// Status counts what the placer holds and has done.
+func (s *Server) Status() (st core.Status) {
+	s.loop.Call(func() { st = s.core.Status() })
+	return st
+}
+
+// Stall makes the placer stand still for a while, as a long collection or a stopped process would.
+func (s *Server) Stall(d time.Duration) { s.loop.Do(func() { time.Sleep(d) }) }
+
+// Stop ends the placer: the front takes nothing new, what is under way has up to grace to be
+// answered, then all connections are closed. Tasks run on.
+func (s *Server) Stop(grace time.Duration) {
+	s.stopping.Store(true)
+	if s.front != nil {
+		_ = s.front.Close()
+	}
+	for end := time.Now().Add(grace); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		busy := false
+		if !s.loop.Call(func() { busy = len(s.await) > 0 || len(s.follows) > 0 }) || !busy {
+			break
+		}
+	}
+	s.Kill()
+}
+
+// Kill ends the placer at once, as when its process is killed: what it held is forgotten.
+func (s *Server) Kill() {
+	s.stopping.Store(true)
+	s.stopOnce.Do(func() {
+		s.loop.Stop()
+		if s.watch != nil {
+			s.watch.Stop()
+		}
+		_ = s.tell.Close()
+		s.engine.Stop()
+		s.wait.Wait()
+	})
+}
+
+// put brings an input on the loop.
+func (s *Server) put(in core.Input) { s.inputs = append(s.inputs, in) }
+
+// step gives the core the inputs of a batch and carries out what it says.
+func (s *Server) step(now time.Duration) (time.Duration, bool) {
+	in := s.inputs
+	s.inputs = s.inputs[:0]
+	for _, o := range s.core.Step(now, in...) {
+		s.carry(o)
+	}
+	clear(in)
+	for _, h := range s.dirty {
+		if h.conn != nil && len(h.buf) > 0 {
+			_ = h.conn.Write(h.buf) // a failed write closes the connection, which is heard of by Closed
+		}
+		h.buf, h.dirty = h.buf[:0], false
+	}
+	s.dirty = s.dirty[:0]
+	return s.core.Next()
+}
+
+func (s *Server) carry(o core.Output) {
+	switch o := o.(type) {
+	case core.ToHost:
+		h := s.links[o.Host]
+		if h == nil || h.num != o.Conn || h.conn == nil {
+			return
+		}
+		if !h.dirty {
+			h.dirty = true
+			s.dirty = append(s.dirty, h)
+		}
+		h.buf = hostproto.Append(h.buf, o.Frame)
+	case core.Dial:
+		s.dial(o)
+	case core.Close:
+		if h := s.links[o.Host]; h != nil && h.num == o.Conn {
+			delete(s.links, o.Host)
+			if h.conn != nil {
+				h.conn.Close()
+			}
+		}
+	case core.Subscribe:
+		s.subscribe()
+	case core.ToPlacer:
+		s.send(o)
+	case core.Taken:
+		s.taken(o)
+	case core.Rejected:
+		s.rejected(o)
+	case core.Grew:
+		for st := range s.follows[o.Submission] {
+			s.pump(st)
+		}
+	case core.Logged:
+		if o.Defect {
+			s.log.Error().Msg(o.Text)
+		} else {
+			s.log.Info().Msg(o.Text)
+		}
+	}
+}
+
+// ---- Hosts.
+
+// hostConn is one connection to a host.
+type hostConn struct {
+	s     *Server
+	host  string
+	num   uint32
+	conn  *netio.Conn // nil: being made
+	dec   hostproto.Decoder
+	buf   []byte
+	dirty bool
+}
+
+func (s *Server) dial(o core.Dial) {
+	h := &hostConn{s: s, host: o.Host, num: o.Conn}
+	s.links[o.Host] = h
+	s.engine.Dial(o.Address, s.set.Links.Connect, mostUnwritten, h, func(c *netio.Conn, err error) {
+		s.loop.Do(func() {
+			switch {
+			case s.links[o.Host] != h:
+				if c != nil {
+					c.Close()
+				}
+			case err != nil || c.Gone():
+				delete(s.links, o.Host)
+				s.put(core.Broke{Host: h.host, Conn: h.num})
+			default:
+				h.conn = c
+				s.put(core.Dialled{Host: h.host, Conn: h.num})
+			}
+		})
+	})
+}
+
+// Data takes bytes from a host.
+func (h *hostConn) Data(c *netio.Conn, p []byte) {
+	var frames []hostproto.Frame
+	err := h.dec.Feed(p, func(f hostproto.Frame) error {
+		frames = append(frames, f)
+		return nil
+	})
+	h.s.loop.Wait(func() {
+		if h.s.links[h.host] != h {
+			return
+		}
+		for _, f := range frames {
+			h.s.put(core.FromHost{Host: h.host, Conn: h.num, Frame: f})
+		}
+		if err != nil {
+			h.s.log.Warn().Str("host", h.host).Err(err).Msg("unreadable frame; the connection is closed")
+			_ = c.Write(hostproto.Append(nil, hostproto.Bye{Text: err.Error()}))
+			c.CloseWith(err)
+		}
+	})
+}
+
+// Closed takes the end of the connection.
+func (h *hostConn) Closed(_ *netio.Conn, err error) {
+	h.s.loop.Do(func() {
+		if h.s.links[h.host] != h {
+			return // the core closed it
+		}
+		delete(h.s.links, h.host)
+		why := "closed"
+		if err != nil {
+			why = err.Error()
+		}
+		h.s.put(core.Broke{Host: h.host, Conn: h.num, Why: why})
+	})
+}
+
+// ---- The list.
+
+func (s *Server) subscribe() {
+	if s.watch != nil {
+		return // it runs: its next answer is on its way
+	}
+	cat := s.set.Catalogue
+	cfg := listwatch.Config{
+		Address: cat.Address, Service: cat.Service, Wait: cat.Wait, Timeout: cat.Timeout, Pace: cat.Pace,
+		Agent: fmt.Sprintf("forkhead-placer/%d", s.set.Module.Self),
+	}
+	var w *listwatch.Watch
+	w = listwatch.Start(cfg, func(hosts []core.HostEntry, skipped []string) {
+		s.loop.Wait(func() {
+			if s.watch == w {
+				if len(skipped) > 0 {
+					s.log.Warn().Strs("entries", skipped).Msg("the catalogue lists hosts that cannot be used")
+				}
+				s.put(core.Listing{Mode: forkhead.ListFull, Hosts: hosts})
+			}
+		})
+	}, func(err error) {
+		s.loop.Do(func() {
+			if s.watch == w {
+				s.watch = nil
+				s.log.Debug().Err(err).Msg("asking the catalogue failed")
+				s.put(core.Listing{Mode: forkhead.ListFailed})
+			}
+		})
+	})
+	s.watch = w
+}
+
+// ---- Other placers.
+
+func (s *Server) send(o core.ToPlacer) {
+	if len(o.Data) > mostDatagram-2 {
+		return
+	}
+	self := s.set.Module.Self
+	p := append([]byte{byte(self), byte(self >> 8)}, o.Data...)
+	for i, addr := range s.peers {
+		if i != self && (o.To == forkhead.Everyone || o.To == i) {
+			_, _ = s.tell.WriteTo(p, addr) // a message may be lost
+		}
+	}
+}
+
+func (s *Server) hear() {
+	defer s.wait.Done()
+	buf := make([]byte, mostDatagram+1)
+	for {
+		n, from, err := s.tell.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || n < 3 || n > mostDatagram {
+			continue
+		}
+		placer := int(buf[0]) | int(buf[1])<<8
+		if placer >= len(s.peers) || placer == s.set.Module.Self || from.String() != s.peers[placer].String() {
+			continue // not from a placer of the settings
+		}
+		if s.cfg.Drop != nil && s.cfg.Drop(placer) {
+			continue
+		}
+		data := append([]byte(nil), buf[2:n]...)
+		s.loop.Wait(func() { s.put(core.FromPlacer{From: placer, Data: data}) })
+	}
+}
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,127 @@
+// Package record is the traffic of a run as seen at the hosts', the clients' and the catalogue's
+// end: what the rules are checked on. It holds nothing of any placer's own tables.
+package record
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// What says what happened.
+type What string
+
+// What can happen.
+const (
+	HostUp   What = "host-up"   // a life of a host begins: Host, Epoch, Cold, Zone, Rack
+	HostDown What = "host-down" // and ends
+	Fell     What = "fell"      // it was pushed over while cold
+	Hello    What = "hello"     // a placer greeted a host: Placer, PlacerEpoch, Conn
+	Gone     What = "gone"      // a host saw a placer's connection end: Placer, Conn
+	Offer    What = "offer"     // a frame came to a host
+	Withdraw What = "withdraw"
+	Stop     What = "stop"
+	Refused  What = "refused" // a frame left a host
+	Accepted What = "accepted"
+	Running  What = "running"
+	Ended    What = "ended"
+	Drain    What = "drain"   // a host told a placer that it drains
+	Told     What = "told"    // the catalogue told a placer what hosts are ready: Ready, Draining
+	Submit   What = "submit"  // a client submitted: Submission, Count tasks, Within
+	Outcome  What = "outcome" // a client read an outcome: Submission, Task, Text
+	PlacerUp What = "placer-up"
+	Killed   What = "placer-down"
+	Cut      What = "client-cut" // a client's stream broke: nothing more is read of it
+)
+
+// Event is one thing that happened.
+type Event struct {
+	At          time.Duration `json:"at"` // since the epoch of the run's clock
+	What        What          `json:"what"`
+	Host        string        `json:"host,omitempty"`
+	Epoch       uint64        `json:"epoch,omitempty"` // of the host's life
+	Zone        string        `json:"zone,omitempty"`
+	Rack        string        `json:"rack,omitempty"`
+	Cold        bool          `json:"cold,omitempty"`
+	Placer      int           `json:"placer"`
+	PlacerEpoch uint64        `json:"placer_epoch,omitempty"`
+	Conn        uint64        `json:"conn,omitempty"`
+	RefEpoch    uint64        `json:"ref_epoch,omitempty"`
+	Task        uint32        `json:"task,omitempty"`
+	Attempt     uint8         `json:"attempt,omitempty"`
+	Key         uint64        `json:"key,omitempty"`
+	Service     uint64        `json:"service,omitempty"`
+	Name        string        `json:"name,omitempty"`
+	Class       string        `json:"class,omitempty"`
+	Result      string        `json:"result,omitempty"`
+	On          bool          `json:"on,omitempty"`
+	Ready       []string      `json:"ready,omitempty"`
+	Draining    []string      `json:"draining,omitempty"`
+	Submission  string        `json:"submission,omitempty"`
+	Count       int           `json:"count,omitempty"`
+	Within      time.Duration `json:"within,omitempty"`
+}
+
+// Log gathers events. A nil Log takes none.
+type Log struct {
+	mu     sync.Mutex
+	events []Event
+	most   int
+	full   bool
+}
+
+// New returns a log of at most so many events.
+func New(most int) *Log { return &Log{most: most} }
+
+// Add takes an event. A log that is full takes no more, and says so by Full: a record with a
+// hole proves nothing.
+func (l *Log) Add(e Event) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.events) >= l.most {
+		l.full = true
+		return
+	}
+	l.events = append(l.events, e)
+}
+
+// Events returns what has been gathered, and whether all of it was.
+func (l *Log) Events() (events []Event, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Event(nil), l.events...), !l.full
+}
+
+// Write writes events as JSON lines.
+func Write(w io.Writer, events []Event) error {
+	b := bufio.NewWriter(w)
+	enc := json.NewEncoder(b)
+	for i := range events {
+		if err := enc.Encode(&events[i]); err != nil {
+			return err
+		}
+	}
+	return b.Flush()
+}
+
+// Read reads JSON lines.
+func Read(r io.Reader) ([]Event, error) {
+	var out []Event
+	dec := json.NewDecoder(bufio.NewReader(r))
+	for n := 1; ; n++ {
+		var e Event
+		switch err := dec.Decode(&e); {
+		case err == io.EOF:
+			return out, nil
+		case err != nil:
+			return nil, fmt.Errorf("event %d: %w", n, err)
+		}
+		out = append(out, e)
+	}
+}
--- /dev/null
+++ b/internal/rules/rules.go
@@ -0,0 +1,503 @@
+// Package rules checks the five rules on the record of a run: on what crossed the sockets at the
+// hosts', the clients' and the catalogue's end, and on nothing that a placer says of itself.
+package rules
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/guard"
+	"forkhead/internal/record"
+	"forkhead/internal/settings"
+)
+
+// Facts are the figures of the rules.
+type Facts struct {
+	Classes    map[string]Class
+	Parallel   bool          // two attempts of one ask may be out
+	Grace      time.Duration // of a drain
+	LostAfter  time.Duration // a placer counts tasks of a host that is out of reach for so long
+	OwnerWait  time.Duration // after a placer's death, until its tasks may come again
+	ColdFor    time.Duration
+	ColdFrom   float64
+	ColdWindow time.Duration
+	ColdOffers float64 // in a window, always borne
+	ColdPace   float64 // starts a second of a warm host
+	Multiple   float64
+	Transit    time.Duration // the record's own error: what is sent at one end is noted at another by then
+	Late       time.Duration // and an outcome is read by its client
+}
+
+// Class is what the rules need of a class.
+type Class struct {
+	Effect forkhead.Effect
+	Group  forkhead.Place
+	Window time.Duration
+	Spread forkhead.Place
+	Most   int
+}
+
+// FactsOf takes the figures from settings. pace is a warm host's starts a second.
+func FactsOf(s *settings.Settings, pace float64) Facts {
+	m := &s.Module
+	f := Facts{
+		Classes: map[string]Class{}, Parallel: m.ParallelAttempts, Grace: m.DrainGrace, LostAfter: s.Links.LostAfter,
+		OwnerWait: m.OwnerWait, ColdFor: m.ColdFor, ColdFrom: m.ColdFrom, ColdWindow: m.ColdWindow, ColdOffers: m.ColdOffers,
+		ColdPace: pace, Multiple: m.ColdMultiple, Transit: 200 * time.Millisecond, Late: time.Second,
+	}
+	for i, c := range m.Classes {
+		f.Classes[s.Classes[i].Name] = Class{Effect: c.Effect, Group: c.Group, Window: c.Window, Spread: c.Spread, Most: c.Most}
+	}
+	return f
+}
+
+// Breach is one breach of a rule.
+type Breach struct {
+	Rule guard.Rule
+	At   time.Duration
+	Text string
+}
+
+// Verdict is what the record says.
+type Verdict struct {
+	Counts   [guard.Rules]int
+	Breaches []Breach // the first of them
+	Tasks    int      // tasks of which an outcome was owed
+	Outcomes map[string]int
+	Offers   int
+	Refused  int
+	Lives    int // of hosts
+}
+
+const mostBreaches = 50
+
+// OK says whether no rule was broken.
+func (v *Verdict) OK() bool {
+	for _, n := range v.Counts {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+type place struct{ zone, rack string }
+
+type ref struct {
+	host    string
+	life    uint64 // of the host
+	epoch   uint64
+	task    uint32
+	attempt uint8
+}
+
+// try is one attempt as the record shows it. A time of 0 means not yet.
+type try struct {
+	ref
+	placer   int
+	key      uint64
+	service  uint64
+	class    string
+	name     string
+	conn     uint64
+	at       time.Duration
+	accepted time.Duration
+	answered time.Duration // refused, accepted or ended
+	never    time.Duration // the host said that it never ran
+	over     time.Duration // the host said that it ended
+	withdraw time.Duration
+	gone     time.Duration // its connection ended
+	died     time.Duration // its host's life ended
+}
+
+type checker struct {
+	f       Facts
+	v       Verdict
+	events  []record.Event
+	places  map[string]place
+	tries   map[ref]*try
+	byKey   map[uint64][]*try
+	bySvc   map[uint64][]*try
+	order   []*try
+	greeted map[string][]record.Event // Hello by host
+	deaths  map[int][]record.Event    // of placers
+}
+
+// Check judges a record.
+func Check(events []record.Event, f Facts) Verdict {
+	c := &checker{
+		f: f, events: slices.Clone(events), places: map[string]place{}, tries: map[ref]*try{}, byKey: map[uint64][]*try{},
+		bySvc: map[uint64][]*try{}, greeted: map[string][]record.Event{}, deaths: map[int][]record.Event{},
+	}
+	c.v.Outcomes = map[string]int{}
+	slices.SortStableFunc(c.events, func(a, b record.Event) int { return cmp.Compare(a.At, b.At) })
+	c.gather()
+	c.answers()
+	c.repeats()
+	c.drains()
+	c.cold()
+	c.spread()
+	slices.SortStableFunc(c.v.Breaches, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
+	return c.v
+}
+
+func (c *checker) breach(r guard.Rule, at time.Duration, format string, args ...any) {
+	c.v.Counts[r]++
+	if len(c.v.Breaches) < mostBreaches {
+		c.v.Breaches = append(c.v.Breaches, Breach{r, at, fmt.Sprintf(format, args...)})
+	}
+}
+
+func refOf(e *record.Event) ref { return ref{e.Host, e.Epoch, e.RefEpoch, e.Task, e.Attempt} }
+
+// gather makes attempts of frames.
+func (c *checker) gather() {
+	open := map[string]map[ref]*try{} // by host, of its present life
+	first := func(at *time.Duration, t time.Duration) {
+		if *at == 0 {
+			*at = t
+		}
+	}
+	for i := range c.events {
+		e := &c.events[i]
+		switch e.What {
+		case record.HostUp:
+			c.v.Lives++
+			c.places[e.Host] = place{e.Zone, e.Rack}
+			open[e.Host] = map[ref]*try{}
+		case record.HostDown:
+			for _, t := range open[e.Host] {
+				first(&t.died, e.At)
+			}
+			open[e.Host] = nil
+		case record.Hello:
+			c.greeted[e.Host] = append(c.greeted[e.Host], *e)
+		case record.Killed:
+			c.deaths[e.Placer] = append(c.deaths[e.Placer], *e)
+		case record.Gone:
+			for _, t := range open[e.Host] {
+				if t.conn == e.Conn {
+					first(&t.gone, e.At)
+				}
+			}
+		case record.Offer:
+			c.v.Offers++
+			t := &try{ref: refOf(e), placer: e.Placer, key: e.Key, service: e.Service, class: e.Class, name: e.Name, conn: e.Conn, at: e.At}
+			c.tries[t.ref] = t
+			c.byKey[t.key] = append(c.byKey[t.key], t)
+			c.bySvc[t.service] = append(c.bySvc[t.service], t)
+			c.order = append(c.order, t)
+			if open[e.Host] != nil {
+				open[e.Host][t.ref] = t
+			}
+		case record.Withdraw, record.Refused, record.Accepted, record.Running, record.Ended:
+			t := c.tries[refOf(e)]
+			if t == nil {
+				continue
+			}
+			switch e.What {
+			case record.Withdraw:
+				first(&t.withdraw, e.At)
+				continue
+			case record.Refused:
+				c.v.Refused++
+				first(&t.never, e.At)
+			case record.Accepted, record.Running:
+				first(&t.accepted, e.At)
+			case record.Ended:
+				if e.Result == "called" {
+					first(&t.never, e.At)
+				} else {
+					first(&t.over, e.At)
+				}
+			}
+			first(&t.answered, e.At)
+		}
+	}
+}
+
+// by says whether something had happened by a time.
+func by(at, t time.Duration) bool { return at > 0 && at <= t }
+
+// ---- Rule 1.
+
+// answers checks that each task of each submission was told exactly one outcome, in time.
+func (c *checker) answers() {
+	type sub struct {
+		at, within time.Duration
+		count      int
+		placer     int
+		cut        bool
+		told       map[string]string
+	}
+	subs := map[string]*sub{}
+	var names []string
+	end := time.Duration(0)
+	for i := range c.events {
+		e := &c.events[i]
+		end = e.At
+		switch e.What {
+		case record.Submit:
+			if s := subs[e.Submission]; s != nil {
+				continue // read again
+			}
+			subs[e.Submission] = &sub{at: e.At, within: e.Within, count: e.Count, placer: e.Placer, told: map[string]string{}}
+			names = append(names, e.Submission)
+			c.v.Tasks += e.Count
+		case record.Cut:
+			if s := subs[e.Submission]; s != nil {
+				s.cut = true
+			}
+		case record.Outcome:
+			s := subs[e.Submission]
+			if s == nil {
+				c.breach(guard.OneAnswer, e.At, "an outcome for %s of submission %s, which nobody made", e.Name, e.Submission)
+				continue
+			}
+			if before, ok := s.told[e.Name]; ok {
+				if before != e.Result || !s.cut {
+					c.breach(guard.OneAnswer, e.At, "%s of submission %s was told %s and then %s", e.Name, e.Submission, before, e.Result)
+				}
+				continue
+			}
+			s.told[e.Name] = e.Result
+			c.v.Outcomes[e.Result]++
+			if e.Result != "placed" && e.Result != "refused" && e.Result != "failed" {
+				c.breach(guard.OneAnswer, e.At, "%s was told %q", e.Name, e.Result)
+			}
+			if late := e.At - s.at - s.within; late > c.f.Late && !s.cut {
+				c.breach(guard.OneAnswer, e.At, "%s of submission %s was told %v after its owner gave up", e.Name, e.Submission, late.Round(time.Millisecond))
+			}
+		}
+	}
+	for _, name := range names {
+		s := subs[name]
+		killed := false
+		for _, d := range c.deaths[s.placer] {
+			killed = killed || d.At >= s.at
+		}
+		// What a placer held when it was killed is its client's to send again.
+		if missing := s.count - len(s.told); missing > 0 && !killed && end > s.at+s.within+c.f.Late {
+			c.breach(guard.OneAnswer, end, "%d of %d tasks of submission %s were never told an outcome", missing, s.count, name)
+		} else if missing < 0 {
+			c.breach(guard.OneAnswer, end, "submission %s of %d tasks was told %d outcomes", name, s.count, len(s.told))
+		}
+	}
+}
+
+// ---- Rule 2.
+
+// repeats checks each offer against the earlier attempts of its task.
+func (c *checker) repeats() {
+	for _, t := range c.order {
+		class, ok := c.f.Classes[t.class]
+		if !ok {
+			c.breach(guard.NoRepeat, t.at, "%s is of class %q, which is unknown", t.name, t.class)
+			continue
+		}
+		slack := t.at + c.f.Transit
+		var first *try
+		for _, o := range c.byKey[t.key] {
+			if o == t || o.at > t.at || o.at == t.at && o.attempt >= t.attempt {
+				continue
+			}
+			if by(o.never, t.at) || by(o.over, t.at) || by(o.died, slack) {
+				continue
+			}
+			if c.forgotten(o, t) {
+				continue
+			}
+			// Out: unanswered on a connection that stands, and not withdrawn.
+			if !c.f.Parallel && !by(o.answered, t.at) && !by(o.withdraw, slack) && !by(o.gone, slack) && o.placer == t.placer {
+				c.breach(guard.NoRepeat, t.at, "%s was offered to %s while its attempt at %s was out", t.name, t.host, o.host)
+				continue
+			}
+			if first == nil {
+				first = o
+			}
+			switch class.Effect {
+			case forkhead.Unsafe:
+				c.breach(guard.NoRepeat, t.at, "%s, unsafe, was offered to %s while its attempt at %s may have run", t.name, t.host, o.host)
+			case forkhead.Keyed:
+				if !c.same(class.Group, o.host, t.host) {
+					c.breach(guard.NoRepeat, t.at, "%s, keyed, was offered to %s, outside the group of %s where it may have run", t.name, t.host, o.host)
+				} else if t.at > first.at+class.Window+c.f.Transit {
+					c.breach(guard.NoRepeat, t.at, "%s, keyed, was offered to %s %v after it may have run at %s", t.name, t.host, t.at-first.at, first.host)
+				}
+			}
+		}
+	}
+}
+
+// forgotten says whether an attempt was made by a placer that was dead for the owner's wait when
+// the other was: by the terms its owner may then ask again.
+func (c *checker) forgotten(o, t *try) bool {
+	for _, d := range c.deaths[o.placer] {
+		if d.At >= o.at && d.At+c.f.OwnerWait <= t.at+c.f.Transit {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) same(p forkhead.Place, a, b string) bool {
+	switch p {
+	case forkhead.OnMachine:
+		return a == b
+	case forkhead.InCell:
+		return c.places[a].rack == c.places[b].rack
+	case forkhead.InZone:
+		return c.places[a].zone == c.places[b].zone
+	}
+	return true
+}
+
+// ---- Rule 3.
+
+// drains checks that a placer sends nothing to a host that it was told, longer ago than the
+// grace, drains or is gone.
+func (c *checker) drains() {
+	type pair struct {
+		placer int
+		host   string
+	}
+	listed := map[pair]bool{}
+	notReady := map[pair]time.Duration{} // by the list, since
+	drains := map[pair]time.Duration{}   // by the host's own word, since
+	for i := range c.events {
+		e := &c.events[i]
+		switch e.What {
+		case record.Told:
+			ready := map[string]bool{}
+			for _, h := range e.Ready {
+				ready[h] = true
+				listed[pair{e.Placer, h}] = true
+				delete(notReady, pair{e.Placer, h})
+			}
+			for p := range listed {
+				if p.placer == e.Placer && !ready[p.host] {
+					if _, known := notReady[p]; !known {
+						notReady[p] = e.At
+					}
+				}
+			}
+			for _, h := range e.Draining {
+				p := pair{e.Placer, h}
+				listed[p] = true
+				if _, known := notReady[p]; !known {
+					notReady[p] = e.At
+				}
+			}
+		case record.Drain:
+			p := pair{e.Placer, e.Host}
+			if e.On {
+				if _, known := drains[p]; !known {
+					drains[p] = e.At
+				}
+			} else {
+				delete(drains, p)
+			}
+		case record.HostUp:
+			for p := range drains {
+				if p.host == e.Host {
+					delete(drains, p)
+				}
+			}
+		case record.PlacerUp:
+			for p := range listed {
+				if p.placer == e.Placer {
+					delete(listed, p)
+					delete(notReady, p)
+				}
+			}
+		case record.Offer:
+			p := pair{e.Placer, e.Host}
+			for _, since := range []map[pair]time.Duration{notReady, drains} {
+				if at, ok := since[p]; ok && e.At > at+c.f.Grace+c.f.Transit {
+					c.breach(guard.Drain, e.At, "placer %d offered %s to %s %v after it was told that the host drains or is gone",
+						e.Placer, e.Name, e.Host, (e.At - at).Round(time.Millisecond))
+				}
+			}
+		}
+	}
+}
+
+// ---- Rule 4.
+
+// cold checks that no cold host was offered more than it bears, or fell.
+func (c *checker) cold() {
+	up := map[string]record.Event{}
+	recent := map[string][]time.Duration{}
+	for i := range c.events {
+		e := &c.events[i]
+		switch e.What {
+		case record.HostUp:
+			up[e.Host] = *e
+			recent[e.Host] = nil
+		case record.Fell:
+			c.breach(guard.Cold, e.At, "host %s fell over while cold", e.Host)
+		case record.Offer:
+			u, ok := up[e.Host]
+			age := e.At - u.At
+			if !ok || !u.Cold || age >= c.f.ColdFor {
+				continue
+			}
+			keep := slices.DeleteFunc(append(recent[e.Host], e.At), func(at time.Duration) bool { return at <= e.At-c.f.ColdWindow })
+			recent[e.Host] = keep
+			pace := c.f.ColdPace * (c.f.ColdFrom + (1-c.f.ColdFrom)*float64(age)/float64(c.f.ColdFor))
+			if bears := max(c.f.ColdOffers, c.f.Multiple*pace*c.f.ColdWindow.Seconds()); float64(len(keep)) > bears {
+				c.breach(guard.Cold, e.At, "host %s, up for %v, was offered %d tasks within %v; it bears %.0f", e.Host, age.Round(time.Millisecond), len(keep), c.f.ColdWindow, bears)
+			}
+		}
+	}
+}
+
+// ---- Rule 5.
+
+// spread checks, at each offer, the tasks of its service that its placer has in its place.
+func (c *checker) spread() {
+	for _, t := range c.order {
+		class := c.f.Classes[t.class]
+		if class.Spread == forkhead.Anywhere {
+			continue
+		}
+		n := 1
+		for _, o := range c.bySvc[t.service] {
+			if o == t || o.placer != t.placer || o.at > t.at || !c.same(class.Spread, o.host, t.host) {
+				continue
+			}
+			if c.counts(o, t) {
+				n++
+			}
+		}
+		if n > class.Most {
+			c.breach(guard.Spread, t.at, "%s was offered to %s as number %d of its service in one %v, of at most %d", t.name, t.host, n, placeNames[class.Spread], class.Most)
+		}
+	}
+}
+
+var placeNames = [...]string{"place", "host", "rack", "zone"}
+
+// counts says whether the placer of t still has the attempt o when it offers t.
+func (c *checker) counts(o, t *try) bool {
+	slack := t.at + c.f.Transit
+	if by(o.never, slack) || by(o.over, slack) || by(o.died, slack) || by(o.withdraw, slack) {
+		return false
+	}
+	if o.epoch == t.epoch {
+		if by(o.gone, slack) && (o.accepted == 0 || by(o.gone+c.f.LostAfter, slack)) {
+			return false
+		}
+		return true
+	}
+	// Made by an earlier life: known to this one from when it greeted the host.
+	for _, h := range c.greeted[o.host] {
+		if h.Placer == t.placer && h.PlacerEpoch == t.epoch && h.At+c.f.Transit <= t.at {
+			return o.accepted > 0
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/scene/scene.go
@@ -0,0 +1,254 @@
+// Package scene puts a whole service on loopback in one process: a stand-in catalogue, stand-in
+// hosts and real placers, as a script describes them.
+package scene
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"forkhead"
+	"forkhead/internal/catalogued"
+	"forkhead/internal/clock"
+	"forkhead/internal/hostd"
+	"forkhead/internal/netio"
+	"forkhead/internal/placerd"
+	"forkhead/internal/record"
+	"forkhead/internal/script"
+	"forkhead/internal/settings"
+	"forkhead/internal/standin"
+)
+
+// Scene is a running service.
+type Scene struct {
+	Script    *script.Script
+	Settings  *settings.Settings
+	Clock     *clock.Clock
+	Log       *record.Log
+	Catalogue *catalogued.Server
+	Hosts     []*Host
+	Loss      atomic.Uint64 // of messages between placers, in thousandths
+
+	log     zerolog.Logger
+	engine  *netio.Engine
+	placers []atomic.Pointer[placerd.Server]
+	vetoes  atomic.Uint64 // of lives that are over
+	defects atomic.Uint64
+	offers  atomic.Uint64
+	lives   []int
+	breaker Breaker
+}
+
+// Breaker stands in a placer's module's place, to prove that what it does is caught.
+type Breaker func(set forkhead.Settings) func(now time.Duration, events []forkhead.Event) []forkhead.Action
+
+// Host is one host of the scene.
+type Host struct {
+	*hostd.Server
+	Group *script.Group
+	Rack  string
+}
+
+// Start brings everything up. logs may be nil: nothing is recorded then.
+func Start(s *script.Script, logs *record.Log, log zerolog.Logger, breaker Breaker) (*Scene, error) {
+	c := &Scene{Script: s, Clock: clock.New(), Log: logs, log: log, breaker: breaker}
+	var err error
+	if c.engine, err = netio.New("hosts", 2); err != nil {
+		return nil, err
+	}
+	c.Catalogue, err = catalogued.Serve("127.0.0.1:0", catalogued.Policy{Critical: s.Catalogue.Critical, Deregister: s.Catalogue.Deregister}, c.Clock, logs)
+	if err != nil {
+		c.engine.Stop()
+		return nil, err
+	}
+	c.Catalogue.With(func(st *catalogued.Store, _ time.Duration) { st.Lag(s.Catalogue.Lag) })
+	if err := c.start(); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Scene) start() error {
+	set := *c.Script.Settings
+	set.Catalogue.Address = c.Catalogue.Address()
+	set.Placers = append([]settings.Placer(nil), set.Placers...)
+	for i := range set.Placers {
+		// Ports that are left open are taken now, so that all placers know them.
+		p := &set.Placers[i]
+		var err error
+		if p.HTTP, err = free("tcp", p.HTTP); err != nil {
+			return err
+		}
+		if p.Tell, err = free("udp", p.Tell); err != nil {
+			return err
+		}
+	}
+	c.Settings = &set
+	c.placers = make([]atomic.Pointer[placerd.Server], len(set.Placers))
+	c.lives = make([]int, len(set.Placers))
+	for gi := range c.Script.Hosts {
+		g := &c.Script.Hosts[gi]
+		for i := range g.Count {
+			if err := c.addHost(g, fmt.Sprintf("%s%d", g.Prefix, i), fmt.Sprintf("%s-r%d", g.Zone, i%g.Racks)); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range set.Placers {
+		if err := c.StartPlacer(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// free resolves port 0 to one that is free now.
+func free(network, address string) (string, error) {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil || port != "0" {
+		return address, err
+	}
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", address)
+		if err != nil {
+			return "", err
+		}
+		defer c.Close()
+		return c.LocalAddr().String(), nil
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// HostConfig is what a host of a group is.
+func HostConfig(s *script.Script, g *script.Group, name, rack string) standin.Config {
+	kind := s.Settings.Module.Kinds[settings.Index(s.Settings.Kinds, g.Kind)]
+	m := &s.Settings.Module
+	cfg := standin.Default(name, g.Kind, g.Zone, rack, kind.Cores, kind.Memory)
+	cfg.Labels = g.Labels
+	cfg.AcceptCores, cfg.AcceptMemory, cfg.PushOut = m.AcceptCores, m.AcceptMemory, m.Preempts
+	h := &s.Host
+	cfg.Look, cfg.Line, cfg.Starts, cfg.Start, cfg.Absent, cfg.Keep = h.Look, h.Line, h.Starts, h.Start, h.Absent, h.Keep
+	cfg.Use, cfg.Swing, cfg.Notes = h.Use, h.Swing, h.Notes
+	cfg.ColdFor, cfg.ColdFrom, cfg.ColdWindow, cfg.ColdOffers, cfg.Multiple = m.ColdFor, m.ColdFrom, m.ColdWindow, m.ColdOffers, m.ColdMultiple
+	return cfg
+}
+
+func (c *Scene) addHost(g *script.Group, name, rack string) error {
+	h, err := hostd.Start(hostd.Config{
+		Host: HostConfig(c.Script, g, name, rack), Listen: "127.0.0.1:0", Catalogue: c.Settings.Catalogue.Address,
+		Service: c.Settings.Catalogue.Service, Refresh: c.Script.Host.Refresh, Seed: uint64(c.Script.Seed)<<16 + uint64(len(c.Hosts)),
+		Cold: g.Cold, Clock: c.Clock, Engine: c.engine, Log: c.Log,
+	})
+	if err != nil {
+		return err
+	}
+	c.Hosts = append(c.Hosts, &Host{Server: h, Group: g, Rack: rack})
+	return nil
+}
+
+// StartPlacer begins a life of a placer.
+func (c *Scene) StartPlacer(i int) error {
+	set := c.Settings.For(i)
+	c.lives[i]++
+	cfg := placerd.Config{
+		Settings: set, Clock: c.Clock, Log: c.log, Seed: uint64(c.Script.Seed)<<8 + uint64(i) + uint64(c.lives[i])<<32,
+		Drop: func(int) bool { return rand.Uint64N(1000) < c.Loss.Load() },
+	}
+	if c.breaker != nil {
+		cfg.Decide = c.breaker(set.Module)
+	}
+	var p *placerd.Server
+	var err error
+	for try := 0; try < 100; try++ { // the port may still be held by what is closing
+		if p, err = placerd.Start(cfg); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err != nil {
+		return fmt.Errorf("placer %d: %w", i, err)
+	}
+	c.Log.Add(record.Event{At: c.Clock.Now(), What: record.PlacerUp, Placer: i})
+	c.placers[i].Store(p)
+	return nil
+}
+
+// Placer returns a placer, or nil while it is down.
+func (c *Scene) Placer(i int) *placerd.Server { return c.placers[i].Load() }
+
+// Placers is how many there are.
+func (c *Scene) Placers() int { return len(c.placers) }
+
+// KillPlacer ends a placer's life as kill -9 would.
+func (c *Scene) KillPlacer(i int) {
+	p := c.placers[i].Swap(nil)
+	if p == nil {
+		return
+	}
+	c.keep(p)
+	p.Kill()
+	c.Log.Add(record.Event{At: c.Clock.Now(), What: record.Killed, Placer: i})
+}
+
+// keep adds a life's counts to those of lives that are over.
+func (c *Scene) keep(p *placerd.Server) {
+	st := p.Status()
+	c.vetoes.Add(st.Vetoes)
+	c.defects.Add(st.Defects)
+	c.offers.Add(st.Offers)
+}
+
+// Totals counts vetoes, defects and offers over all lives of all placers.
+func (c *Scene) Totals() (vetoes, defects, offers uint64) {
+	vetoes, defects, offers = c.vetoes.Load(), c.defects.Load(), c.offers.Load()
+	for i := range c.placers {
+		if p := c.placers[i].Load(); p != nil {
+			st := p.Status()
+			vetoes, defects, offers = vetoes+st.Vetoes, defects+st.Defects, offers+st.Offers
+		}
+	}
+	return vetoes, defects, offers
+}
+
+// Ready waits until every placer has a connection to every host that is up.
+func (c *Scene) Ready(most time.Duration) error {
+	for end := time.Now().Add(most); ; time.Sleep(5 * time.Millisecond) {
+		good := true
+		for i := range c.placers {
+			if p := c.placers[i].Load(); p != nil {
+				st := p.Status()
+				good = good && st.Up >= len(c.Hosts) && st.Ready >= len(c.Hosts)
+			}
+		}
+		if good {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("the placers do not have all %d hosts after %v", len(c.Hosts), most)
+		}
+	}
+}
+
+// Stop takes everything down.
+func (c *Scene) Stop() {
+	for i := range c.placers {
+		if p := c.placers[i].Swap(nil); p != nil {
+			p.Kill()
+		}
+	}
+	for _, h := range c.Hosts {
+		h.Stop()
+	}
+	c.Catalogue.Stop()
+	c.engine.Stop()
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,7 @@
 	Service string        // name under which hosts are registered
 	Wait    time.Duration // longest a blocking query is held
 	Timeout time.Duration // beyond Wait; then the query has failed
+	Pace    time.Duration // least time between two queries
 }
 
 // Owner says how a task that was refused, failed, moved or lost is asked for again.
@@ -175,6 +176,7 @@
 	r.s.DefaultClass = 0
 	r.s.Catalogue = Catalogue{
 		Address: "127.0.0.1:8500", Service: "forkhead-host", Wait: 10 * time.Second, Timeout: 2 * time.Second,
+		Pace: 200 * time.Millisecond,
 	}
 	r.s.Owner = Owner{First: time.Second, Most: 15 * time.Second, Soon: 100 * time.Millisecond, Asks: 100, Lives: 1000}
 	r.s.Links = Links{
@@ -257,6 +259,7 @@
 			"service": sexp.Text(&r.s.Catalogue.Service),
 			"wait":    sexp.Duration(&r.s.Catalogue.Wait, 10*time.Millisecond, 10*time.Minute),
 			"timeout": sexp.Duration(&r.s.Catalogue.Timeout, 10*time.Millisecond, 10*time.Minute),
+			"pace":    sexp.Duration(&r.s.Catalogue.Pace, time.Millisecond, time.Minute),
 		}),
 		"limits": r.group(map[string]sexp.Field{
 			"body":        sexp.Int(&r.s.Limits.Body, 1024, 64<<20),
