--- a/internal/badday/badday.go
+++ b/internal/badday/badday.go
@@ -150,6 +150,9 @@
 	for rule := guard.OneAnswer; rule <= guard.Spread; rule++ {
 		r.Rules[rule.String()] = v.Counts[rule]
 	}
+	for _, word := range []string{core.WordPlaced, core.WordRefused, core.WordFailed} {
+		r.Outcomes[word] += 0
+	}
 	return r, nil
 }
 
@@ -244,15 +247,19 @@
 			p.log.Add(record.Event{At: p.c.Clock.Now(), What: record.Cut, Submission: id})
 		},
 	}
+	// Each life of a placer tells outcomes of its own: all that are read are recorded.
+	sub.Line = func(o core.Outcome) {
+		p.log.Add(record.Event{
+			At: p.c.Clock.Now(), What: record.Outcome, Placer: placer, Submission: current,
+			Name: fmt.Sprintf("%s/%d", o.Service, o.Replica), Result: o.Outcome,
+		})
+	}
 	e := &placerd.Envelope{Project: name, Files: []compose.File{{Name: name + ".yaml", Text: pr.text}}}
-	told := 0
 	err := sub.Submit(ctx, e, func(o core.Outcome) {
-		now := p.c.Clock.Now()
-		told++
-		p.log.Add(record.Event{At: now, What: record.Outcome, Placer: placer, Submission: current, Name: fmt.Sprintf("%s/%d", o.Service, o.Replica), Result: o.Outcome})
 		if o.Outcome == core.WordPlaced {
 			p.tracks.Lock()
-			_ = p.tracks.v.RecordValue(max((now - began).Microseconds(), 1)) // over two minutes is out of its range
+			// What took over two minutes is out of the histogram's range.
+			_ = p.tracks.v.RecordValue(max((p.c.Clock.Now() - began).Microseconds(), 1))
 			p.tracks.Unlock()
 		}
 	})
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -165,10 +165,6 @@
 				return err
 			}
 			named(e, d, names[0])
-			// Nobody else uses this fleet: whatever ports are free will do.
-			for i := range s.Settings.Placers {
-				s.Settings.Placers[i].HTTP, s.Settings.Placers[i].Tell = "127.0.0.1:0", "127.0.0.1:0"
-			}
 			sc, err := scene.Start(s, nil, a.log, nil)
 			if err != nil {
 				return err
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -91,6 +91,7 @@
 		register: make(chan core.HostEntry, 1), ended: make(chan struct{}),
 	}
 	s.loop = loop.New(cfg.Clock, mostJobs, s.step)
+	s.loop.Start()
 	var err error
 	s.loop.Call(func() { err = s.up(cfg.Cold) })
 	if err != nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -27,14 +27,17 @@
 	done  chan struct{}
 }
 
-// New starts a loop. Producers that wait are held back while most jobs are queued.
+// New returns a loop that Start sets going. Producers that wait are held back while most jobs
+// are queued.
 func New(c *clock.Clock, most int, step Step) *Loop {
 	l := &Loop{clock: c, step: step, most: most, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	l.space = sync.NewCond(&l.mu)
-	go l.run()
 	return l
 }
 
+// Start sets the loop going, once.
+func (l *Loop) Start() { go l.run() }
+
 // Do queues a job without waiting: for what the loop itself causes, and what is bounded elsewhere.
 // A job queued after Stop is dropped, and false returned.
 func (l *Loop) Do(job func()) bool {
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -40,6 +40,9 @@
 	lns  map[net.Listener]bool
 	wait sync.WaitGroup
 	done bool
+	// fence orders the making of a connection before its first event. The poller hands them over
+	// through the kernel, which the memory model does not know of.
+	fence atomic.Uint64
 }
 
 // Conn is one connection.
@@ -57,16 +60,19 @@
 	e := &Engine{lns: map[net.Listener]bool{}}
 	e.eng = nbio.NewEngine(nbio.Config{Name: name, NPoller: pollers, ReadBufferSize: 32 << 10})
 	e.eng.OnData(func(nb *nbio.Conn, p []byte) {
+		e.fence.Load()
 		if c, ok := nb.Session().(*Conn); ok && !c.closed.Load() {
 			c.handler.Data(c, p)
 		}
 	})
 	e.eng.OnClose(func(nb *nbio.Conn, err error) {
+		e.fence.Load()
 		if c, ok := nb.Session().(*Conn); ok {
 			c.end(err)
 		}
 	})
 	e.eng.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
+		e.fence.Load()
 		if c, ok := nb.Session().(*Conn); ok && c.pending.Add(int64(-n)) == 0 {
 			if d, ok := c.handler.(Drainer); ok {
 				d.Drained(c)
@@ -140,6 +146,7 @@
 		return
 	}
 	nb.SetSession(c)
+	e.fence.Add(1)
 	if _, err := e.eng.AddConn(nb); err != nil {
 		c.end(err)
 		_ = nb.Close()
@@ -175,6 +182,7 @@
 		}
 		c := &Conn{nb: nb, handler: handler, most: int64(most)}
 		nb.SetSession(c)
+		e.fence.Add(1)
 		if _, err := e.eng.AddConn(nb); err != nil {
 			_ = nb.Close()
 			opened(nil, err)
--- a/internal/placerd/placerd.go
+++ b/internal/placerd/placerd.go
@@ -97,6 +97,7 @@
 		return nil, err
 	}
 	s.loop = loop.New(cfg.Clock, mostJobs, s.step)
+	s.loop.Start()
 	s.wait.Add(1)
 	go s.hear()
 	s.front, err = engine.Listen(set.Placers[self].HTTP, set.Limits.Buffer+(1<<20), s.accept)
--- a/internal/scene/scene.go
+++ b/internal/scene/scene.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -78,13 +79,13 @@
 	set.Catalogue.Address = c.Catalogue.Address()
 	set.Placers = append([]settings.Placer(nil), set.Placers...)
 	for i := range set.Placers {
-		// Ports that are left open are taken now, so that all placers know them.
+		// All is in this process: any free port will do, and two scenes can stand side by side.
 		p := &set.Placers[i]
 		var err error
-		if p.HTTP, err = free("tcp", p.HTTP); err != nil {
+		if p.HTTP, err = free("tcp"); err != nil {
 			return err
 		}
-		if p.Tell, err = free("udp", p.Tell); err != nil {
+		if p.Tell, err = free("udp"); err != nil {
 			return err
 		}
 	}
@@ -107,26 +108,23 @@
 	return nil
 }
 
-// free resolves port 0 to one that is free now.
-func free(network, address string) (string, error) {
-	_, port, err := net.SplitHostPort(address)
-	if err != nil || port != "0" {
-		return address, err
-	}
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", address)
-		if err != nil {
-			return "", err
+// free finds a loopback port that is free now, below those that the system gives to outgoing
+// connections: a server that is down for a while must find its port free when it comes back.
+func free(network string) (string, error) {
+	var err error
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", 12_000+rand.IntN(18_000))
+		var c io.Closer
+		if network == "udp" {
+			c, err = net.ListenPacket("udp", address)
+		} else {
+			c, err = net.Listen("tcp", address)
+		}
+		if err == nil {
+			return address, c.Close()
 		}
-		defer c.Close()
-		return c.LocalAddr().String(), nil
-	}
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", err
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", fmt.Errorf("no free port: %w", err)
 }
 
 // HostConfig is what a host of a group is.
@@ -144,8 +142,12 @@
 }
 
 func (c *Scene) addHost(g *script.Group, name, rack string) error {
+	address, err := free("tcp")
+	if err != nil {
+		return err
+	}
 	h, err := hostd.Start(hostd.Config{
-		Host: HostConfig(c.Script, g, name, rack), Listen: "127.0.0.1:0", Catalogue: c.Settings.Catalogue.Address,
+		Host: HostConfig(c.Script, g, name, rack), Listen: address, Catalogue: c.Settings.Catalogue.Address,
 		Service: c.Settings.Catalogue.Service, Refresh: c.Script.Host.Refresh, Seed: uint64(c.Script.Seed)<<16 + uint64(len(c.Hosts)),
 		Cold: g.Cold, Clock: c.Clock, Engine: c.engine, Log: c.Log,
 	})
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -30,6 +30,8 @@
 	Pause   time.Duration // between tries, unless Retry-After says more
 	// Taken is called with each reply's submission, before its outcomes.
 	Taken func(submission string)
+	// Line is called with every outcome that is read, also one that was told before.
+	Line func(core.Outcome)
 	// Broken is called when a stream ends before it is complete.
 	Broken func(submission string)
 }
@@ -124,22 +126,28 @@
 	if c.Taken != nil {
 		c.Taken(id)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 4096), mostLine)
-	for lines.Scan() {
+	lines := bufio.NewReaderSize(resp.Body, mostLine)
+	for {
+		line, err := lines.ReadSlice('\n')
+		if errors.Is(err, io.EOF) && len(line) == 0 {
+			return nil
+		}
+		if err != nil {
+			// What stands before the break is a part of a line: it is read whole the next time.
+			if c.Broken != nil {
+				c.Broken(id)
+			}
+			return fmt.Errorf("the stream of outcomes broke: %w", err)
+		}
 		var o core.Outcome
-		if err := json.Unmarshal(lines.Bytes(), &o); err != nil {
+		if err := json.Unmarshal(line, &o); err != nil {
 			return fmt.Errorf("the placer sent a line that is not an outcome: %w", err)
 		}
-		each(o)
-	}
-	if err := lines.Err(); err != nil {
-		if c.Broken != nil {
-			c.Broken(id)
+		if c.Line != nil {
+			c.Line(o)
 		}
-		return fmt.Errorf("the stream of outcomes broke: %w", err)
+		each(o)
 	}
-	return nil
 }
 
 func refusal(resp *http.Response) error {
