--- a/internal/badday/badday.go
+++ b/internal/badday/badday.go
@@ -73,6 +73,7 @@
 	burst  atomic.Uint64 // thousandths of the usual load
 	cut    atomic.Bool
 	slow   atomic.Bool
+	twice  atomic.Bool // planted: outcomes are told twice
 	tracks mu[*hdrhistogram.Histogram]
 	subs   atomic.Int64
 	away   atomic.Int64
@@ -128,6 +129,11 @@
 			}
 		}()
 	}
+	for _, what := range s.Plants {
+		if err := p.plant(what); err != nil {
+			return nil, fmt.Errorf("planting %s: %w", what, err)
+		}
+	}
 	p.wait.Wait()
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -231,6 +237,9 @@
 		}
 		return conn, err
 	}}}
+	if p.twice.Load() {
+		client.Transport = twiceOver{client.Transport}
+	}
 	current := ""
 	began := p.c.Clock.Now()
 	sub := submitter.Client{
--- a/internal/badday/badday_test.go
+++ b/internal/badday/badday_test.go
@@ -23,6 +23,31 @@
     (slow-reader (at 2s) (for 1s)) (placer-kill (at 2500ms) (for 300ms) (placer 0)) (tear (at 3s) (for 1s) (hosts 1))
     (half-open (at 4s) (hosts 0.2))))`
 
+// A breach of each rule, planted by a placer that is built to make it, is caught on the traffic.
+func TestPlants(t *testing.T) {
+	rule := map[script.Plant]guard.Rule{
+		script.PlantAnswer: guard.OneAnswer, script.PlantRepeat: guard.NoRepeat, script.PlantDrain: guard.Drain,
+		script.PlantCold: guard.Cold, script.PlantSpread: guard.Spread,
+	}
+	for _, plant := range script.Plants {
+		t.Run(string(plant), func(t *testing.T) {
+			t.Parallel()
+			s, err := script.Read("test", []byte(`(badday (length 2s) (settle 2s) (hosts 3 (kind std-28) (zone north))
+			  (load web (class web) (rate 10)) (plant `+string(plant)+`))`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := Play(context.Background(), s, Options{Log: zerolog.Nop()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.OK() || r.Verdict.Counts[rule[plant]] == 0 {
+				t.Fatalf("not caught: %v", r.Rules)
+			}
+		})
+	}
+}
+
 func play(t *testing.T, opt Options) *Result {
 	t.Helper()
 	s, err := script.Read("test", []byte(day))
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -35,6 +35,7 @@
 	Host      Host
 	Load      []Load
 	Troubles  []Trouble
+	Plants    []Plant
 }
 
 // Group is some hosts of one kind in one zone.
@@ -114,6 +115,21 @@
 	DieMidStart, DieAfterBind, Refuse,
 }
 
+// Plant is a breach that a script plants, to show that the checker catches it.
+type Plant string
+
+// The plants, one for each rule.
+const (
+	PlantAnswer Plant = "one-answer"
+	PlantRepeat Plant = "no-repeat"
+	PlantDrain  Plant = "drain"
+	PlantCold   Plant = "cold"
+	PlantSpread Plant = "spread"
+)
+
+// Plants lists them.
+var Plants = []Plant{PlantAnswer, PlantRepeat, PlantDrain, PlantCold, PlantSpread}
+
 // Trouble is one trouble of the day.
 type Trouble struct {
 	Kind   Kind
@@ -200,9 +216,21 @@
 			}, nil, r.errs)
 			return nil
 		},
-		"load":     r.load,
+		"load": r.load,
+		"plant": func(f *sexp.Node) error {
+			words := map[string]Plant{}
+			for _, p := range Plants {
+				words[string(p)] = p
+			}
+			var p Plant
+			err := sexp.Choice(&p, words)(f)
+			if err == nil {
+				s.Plants = append(s.Plants, p)
+			}
+			return err
+		},
 		"troubles": func(f *sexp.Node) error { sexp.Fields(f.Args(), troubles, all(troubles), r.errs); return nil },
-	}, map[string]bool{"hosts": true, "load": true}, r.errs)
+	}, map[string]bool{"hosts": true, "load": true, "plant": true}, r.errs)
 	var err error
 	switch {
 	case own == nil:
