--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,75 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"forkhead"
+)
+
+const base = `(kind k (cores 4) (memory 8GiB)) (class c)`
+
+func TestRead(t *testing.T) {
+	s, err := Read("f", []byte(`(forkhead
+	  (placer (zone a) (http "127.0.0.1:1") (tell "127.0.0.1:2")) (placer (zone b) (http "127.0.0.1:3") (tell "127.0.0.1:4"))
+	  (kind k (cores 4) (memory 512MiB)) (class u (effect unsafe) (spread rack 3) (kind k) (wait 2s))
+	  (tenant t (share 0.5) (cores 9)) (default-class u) (drain-grace 100ms) (limits (tasks 7)) (links (lost-after 5s)))`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := s.For(1).Module
+	c := m.Classes[0]
+	if m.Self != 1 || m.Placers != 2 || m.Kinds[0].Memory != 0.5 || c.Effect != forkhead.Unsafe || c.Spread != forkhead.InCell ||
+		c.Most != 3 || c.Kind != 0 || m.Tenants[0].Cores != 9 || s.Limits.Tasks != 7 {
+		t.Fatalf("%+v", s)
+	}
+	if s.Classes[0].Patience < s.Classes[0].Wait {
+		t.Fatal("patience defaults to less than the wait")
+	}
+}
+
+func TestErrors(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                      "f:1:1: the file holds something else",
+		"(forkhead) (forkhead)": "the file holds something else",
+		"(forkhead)":            "no kind of host is named",
+		"(forkhead " + base + " (kind k (cores 1) (memory 1GiB)))":              `kind "k" is named a second time`,
+		"(forkhead (kind k (cores 4)) (class c))":                               "lacks its cores or memory",
+		"(forkhead (kind k (cores -4) (memory 1GiB)) (class c))":                `f:1:26: "-4"; want a number from 0.001`,
+		"(forkhead (kind k (cores NaN) (memory 1GiB)) (class c))":               "want a number",
+		"(forkhead (kind k (cores 4) (memory 12)) (class c))":                   "want an amount as 512MiB or 64GiB",
+		"(forkhead " + base + " (class d (kind z)))":                            `kind "z" is not named; want k`,
+		"(forkhead " + base + " (class d (effect mostly)))":                     `"mostly"; want keyed, safe, unsafe`,
+		"(forkhead " + base + " (class d (spread rack)))":                       "want (spread machine|rack|zone MOST)",
+		"(forkhead " + base + " (class d (spread rack 0)))":                     "want a whole number from 1",
+		"(forkhead " + base + " (class d (wait 5s) (patience 1s)))":             "patience is 1s; want at least its wait",
+		"(forkhead " + base + " (class d (wait 5)))":                            "want a duration",
+		"(forkhead " + base + " (default-class z))":                             `class "z" is not named`,
+		"(forkhead " + base + " (drain-grce 1s))":                               `unknown setting "drain-grce"; want drain-grace`,
+		"(forkhead " + base + " (placer (http nowhere)))":                       "want ADDRESS:PORT",
+		"(forkhead " + base + " (tenant t (share 0.7)) (tenant u (share 0.7)))": "the tenants' shares sum to 1.4",
+		"(forkhead " + base + " (owner (first 5s) (most 1s)))":                  "owner: most is 1s",
+		"(forkhead " + base + " (tell maybe))":                                  "want yes or no",
+		"(forkhead " + base + " (attempts 1 2))":                                "want exactly one value",
+		"(forkhead " + base + " stray)":                                         "this is not a setting",
+		"(forkhead " + base + " \"\\q\")":                                       `unknown escape \q`,
+		"(forkhead " + base + "))":                                              "a ) without its (",
+		strings.Repeat("(", 100):                                                "nested too deep",
+		"(forkhead \xff)":                                                       "not valid UTF-8",
+	} {
+		if _, err := Read("f", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v\nwant %s", text, err, want)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(Default)
+	f.Add([]byte("(forkhead (kind k (cores 1) (memory 1GiB)) (class c (spread rack 2)))"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Read("f", text)
+		if (s == nil) == (err == nil) {
+			t.Fatal("neither settings nor an error, or both")
+		}
+	})
+}
