--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -63,7 +64,7 @@
 		return exitOK
 	case errors.Is(err, errNo):
 		return exitNo
-	case errors.As(err, &in) || source.First(err) != nil:
+	case errors.As(err, &in) || source.First(err) != nil || strings.HasPrefix(err.Error(), "unknown command"):
 		fmt.Fprintln(errs, err)
 		return exitInput
 	default:
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"forkhead/internal/core"
+)
+
+func run(args ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	code = Run(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		p := filepath.Join(dir, name)
+		if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	good := write("good.yaml", "services: {a: {image: '${TAG:-x}'}}")
+	broken := write("broken.yaml", "services:\n  a: {imgae: x}")
+	settings := write("settings.sexp", "(forkhead (kind k (cores 1) (memory 1GiB)) (class c))")
+	for name, c := range map[string]struct {
+		args []string
+		code int
+		want string // on standard error or output
+	}{
+		"good file":        {[]string{"check", good}, 0, "good: 1 services, 1 tasks"},
+		"good settings":    {[]string{"check", settings}, 0, "good"},
+		"as JSON":          {[]string{"check", good, "--output", "json"}, 0, `"ok":true`},
+		"broken file":      {[]string{"check", broken}, 2, `broken.yaml:2:7: unknown element "imgae"`},
+		"broken settings":  {[]string{"check", write("s.sexp", "(forkhead\n (kind k))")}, 2, "s.sexp:2:2: kind"},
+		"unreadable":       {[]string{"check", write("t.sexp", "(forkhead")}, 2, "t.sexp:1:1: this ( is never closed"},
+		"no such file":     {[]string{"check", filepath.Join(dir, "none")}, 2, "no such file"},
+		"no argument":      {[]string{"check"}, 2, "requires at least 1 arg"},
+		"unknown flag":     {[]string{"check", "--fast", good}, 2, "unknown flag"},
+		"unknown output":   {[]string{"check", good, "--output", "xml"}, 2, "want text or json"},
+		"unknown level":    {[]string{"check", good, "--log", "loud"}, 2, "want debug"},
+		"no such placer":   {[]string{"serve", "--self", "9"}, 2, "placers 0 to 2"},
+		"broken script":    {[]string{"badday", write("b.sexp", "(badday (hosts 0 (kind x)))")}, 2, "b.sexp:1:16"},
+		"nobody serves":    {[]string{"submit", good, "--to", "127.0.0.1:1", "--tries", "1"}, 1, "refused"},
+		"try a broken one": {[]string{"try", broken}, 2, "broken.yaml:2:7"},
+	} {
+		code, out, errs := run(c.args...)
+		if code != c.code || !strings.Contains(out+errs, c.want) {
+			t.Errorf("%s: exit %d, want %d; %q %q", name, code, c.code, out, errs)
+		}
+	}
+	if code, _, errs := run("chekc", good); code != 2 {
+		t.Errorf("an unknown command: exit %d: %s", code, errs)
+	}
+}
+
+// The two examples of the README: all placed, and some refused with their reason.
+func TestTry(t *testing.T) {
+	for file, c := range map[string]struct{ code, placed, refused int }{
+		"calendar": {0, 8, 0}, "overspread": {3, 6, 2},
+	} {
+		code, out, errs := run("try", "../../examples/"+file+".compose.yaml", "--output", "json")
+		placed, refused := 0, 0
+		for _, line := range strings.Split(strings.TrimSpace(out), "\n") {
+			var o core.Outcome
+			if err := json.Unmarshal([]byte(line), &o); err != nil {
+				t.Fatalf("%s: %q: %v %s", file, line, err, errs)
+			}
+			switch o.Outcome {
+			case core.WordPlaced:
+				placed++
+				if o.Host == "" || o.Attempts < 1 {
+					t.Errorf("%s: %+v", file, o)
+				}
+			case core.WordRefused:
+				refused++
+				if !strings.Contains(o.Reason, "spread") {
+					t.Errorf("%s: %+v", file, o)
+				}
+			}
+		}
+		if code != c.code || placed != c.placed || refused != c.refused {
+			t.Errorf("%s: exit %d, %d placed, %d refused; %s", file, code, placed, refused, errs)
+		}
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -141,10 +141,7 @@
 		t.Fatalf("outcomes: %+v", out)
 	}
 	s.run(5 * time.Second)
-	running := 0
-	for _, h := range s.names {
-		running += s.hosts[h].host.Running()
-	}
+	running := s.running()
 	if placed := count(out, WordPlaced); running != placed {
 		t.Fatalf("%d run, %d placed", running, placed)
 	}
@@ -170,10 +167,7 @@
 	}
 	s.hosts[victim].mute = false
 	s.run(8 * time.Second)
-	running := 0
-	for _, h := range s.names {
-		running += s.hosts[h].host.Running()
-	}
+	running := s.running()
 	if running != 8 {
 		t.Fatalf("%d tasks run, want 8", running)
 	}
@@ -194,10 +188,7 @@
 	}
 	s.run(3 * time.Second)
 	keys := map[uint64]int{}
-	running := 0
-	for _, h := range s.names {
-		running += s.hosts[h].host.Running()
-	}
+	running := s.running()
 	for _, o := range s.offers {
 		if o.offer.Spec.Class == "ledger" {
 			keys[o.offer.Spec.Key]++
@@ -290,10 +281,7 @@
 				t.Fatalf("three tasks one at a time with 500ms between took %v", took)
 			}
 			s.run(2 * time.Second)
-			running := 0
-			for _, h := range s.names {
-				running += s.hosts[h].host.Running()
-			}
+			running := s.running()
 			if running != 3 {
 				t.Fatalf("%d run, want 3", running)
 			}
@@ -319,10 +307,7 @@
 	if count(out, WordRefused) != 3 {
 		t.Fatalf("outcomes: %+v", out)
 	}
-	running := 0
-	for _, h := range s.names {
-		running += s.hosts[h].host.Running()
-	}
+	running := s.running()
 	if running != 2 {
 		t.Fatalf("%d run, want the two that were not replaced", running)
 	}
--- a/internal/core/sim_test.go
+++ b/internal/core/sim_test.go
@@ -415,6 +415,15 @@
 	}
 }
 
+// running counts the tasks that hosts hold.
+func (s *sim) running() int {
+	n := 0
+	for _, h := range s.hosts {
+		n += h.host.Running()
+	}
+	return n
+}
+
 func count(out map[string]Outcome, word string) int {
 	n := 0
 	for _, o := range out {
--- /dev/null
+++ b/internal/hostd/hostd_test.go
@@ -0,0 +1,131 @@
+package hostd
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"forkhead/internal/clock"
+	"forkhead/internal/hostproto"
+	"forkhead/internal/netio"
+	"forkhead/internal/record"
+	"forkhead/internal/standin"
+)
+
+func start(t *testing.T) (*Server, *record.Log) {
+	t.Helper()
+	engine, err := netio.New("test", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := record.New(1000)
+	s, err := Start(Config{
+		Host: standin.Default("h", "k", "z", "r", 8, 8), Listen: "127.0.0.1:0", Clock: clock.New(), Engine: engine, Log: log,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Stop(); engine.Stop() })
+	return s, log
+}
+
+// talk writes bytes to the host and returns all frames that come until it closes, or for a while.
+func talk(t *testing.T, s *Server, p []byte, stay time.Duration) (frames []hostproto.Frame, closed bool) {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write(p); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(stay))
+	var d hostproto.Decoder
+	buf := make([]byte, 4096)
+	for {
+		n, err := c.Read(buf)
+		if derr := d.Feed(buf[:n], func(f hostproto.Frame) error { frames = append(frames, f); return nil }); derr != nil {
+			t.Fatal(derr)
+		}
+		if err != nil {
+			return frames, err == io.EOF || strings.Contains(err.Error(), "reset")
+		}
+	}
+}
+
+// Each broken stream gets one Bye that says why, and its connection is closed; the host goes on.
+func TestBadStreams(t *testing.T) {
+	s, _ := start(t)
+	hello := hostproto.Append(nil, hostproto.Hello{Version: hostproto.Version, Epoch: 5, Conn: 1})
+	for name, c := range map[string]struct {
+		stream []byte
+		want   string
+	}{
+		"oversized":        {[]byte{0xff, 0xff, 0xff, 0xff}, "longer than allowed"},
+		"unknown code":     {[]byte{1, 0, 0, 0, 77}, "unknown code"},
+		"truncated":        {[]byte{2, 0, 0, 0, 2, 1}, "ends before its fields"},
+		"http":             {[]byte("GET / HTTP/1.1\r\n\r\n"), "longer than allowed"},
+		"no hello":         {hostproto.Append(nil, hostproto.Probe{ID: 1}), "a frame before Hello"},
+		"other version":    {hostproto.Append(nil, hostproto.Hello{Version: 9}), "speaks version 1"},
+		"a host's frame":   {hostproto.Append(append([]byte{}, hello...), hostproto.Drain{On: true}), "only hosts send"},
+		"foreign epoch":    {hostproto.Append(nil, hostproto.Hello{Version: hostproto.Version, Epoch: 4, Conn: 9}), "a later life"},
+		"good then broken": {append(append([]byte{}, hello...), 1, 0, 0, 0, 99), "unknown code"},
+	} {
+		if name == "foreign epoch" {
+			talk(t, s, hello, 50*time.Millisecond)
+		}
+		frames, closed := talk(t, s, c.stream, 2*time.Second)
+		byes := 0
+		for _, f := range frames {
+			if b, ok := f.(hostproto.Bye); ok && strings.Contains(b.Text, c.want) {
+				byes++
+			}
+		}
+		if byes != 1 || !closed {
+			t.Errorf("%s: %+v, closed %v", name, frames, closed)
+		}
+	}
+	if frames, _ := talk(t, s, hostproto.Append(nil, hostproto.Hello{Version: hostproto.Version, Epoch: 6, Conn: 1}), 100*time.Millisecond); len(frames) != 1 {
+		t.Fatalf("the host does not go on: %+v", frames)
+	}
+}
+
+// A host that is killed and revived listens at the same address under a later epoch.
+func TestLives(t *testing.T) {
+	s, log := start(t)
+	hello := hostproto.Append(nil, hostproto.Hello{Version: hostproto.Version, Epoch: 1, Conn: 1})
+	first, _ := talk(t, s, hello, 100*time.Millisecond)
+	s.Kill()
+	if c, err := net.Dial("tcp", s.Address()); err == nil {
+		c.Close()
+		t.Fatal("a dead host listens")
+	}
+	if err := s.Revive(true); err != nil {
+		t.Fatal(err)
+	}
+	second, _ := talk(t, s, hello, 100*time.Millisecond)
+	a, b := first[0].(hostproto.Welcome), second[0].(hostproto.Welcome)
+	if b.Epoch <= a.Epoch || b.Started == 0 {
+		t.Fatalf("%+v, then %+v", a, b)
+	}
+	s.Vanish()
+	if frames, closed := talk(t, s, hello, 100*time.Millisecond); len(frames) != 0 || closed {
+		t.Fatalf("a host that has vanished says %+v", frames)
+	}
+	events, _ := log.Events()
+	ups, downs := 0, 0
+	for _, e := range events {
+		switch e.What {
+		case record.HostUp:
+			ups++
+		case record.HostDown:
+			downs++
+		}
+	}
+	if ups != 2 || downs != 2 {
+		t.Fatalf("the record has %d beginnings and %d ends of lives", ups, downs)
+	}
+}
