--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -82,9 +82,75 @@
 	if err := e.eng.Start(); err != nil {
 		return nil, err
 	}
+	if err := e.prove(pollers); err != nil {
+		return nil, err
+	}
 	return e, nil
 }
 
+// prove waits until every poller has taken an event. It guards against nbio's own race: a poller
+// that is stopped before its goroutine has come to its loop forgets that it was, spins, and Stop
+// waits for it for good (nbio 1.6.8: readWriteLoop sets shutdown to false).
+func (e *Engine) prove(pollers int) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer ln.Close()
+	const tries = 64
+	taken := make(chan int, tries)
+	proven := map[int]bool{}
+	for try := 0; len(proven) < pollers; try++ {
+		if try == tries {
+			return errors.New("netio: the pollers do not take events")
+		}
+		out, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			return err
+		}
+		defer out.Close()
+		in, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		nb, err := nbio.NBConn(in)
+		if err != nil {
+			return err
+		}
+		n := nb.Hash() % pollers
+		nb.SetSession(&Conn{nb: nb, handler: prover{n, taken}})
+		e.fence.Add(1)
+		if _, err := e.eng.AddConn(nb); err != nil {
+			return err
+		}
+		if _, err := out.Write([]byte{1}); err != nil {
+			return err
+		}
+		select {
+		case n := <-taken:
+			proven[n] = true
+		case <-time.After(5 * time.Second):
+			return errors.New("netio: a poller does not take events")
+		}
+	}
+	return nil
+}
+
+// prover says which poller took an event.
+type prover struct {
+	n     int
+	taken chan int
+}
+
+// Data reports and closes.
+func (p prover) Data(c *Conn, _ []byte) {
+	p.taken <- p.n
+	c.Close()
+}
+
+// Closed does nothing.
+func (prover) Closed(*Conn, error) {}
+
 // Stop closes all listeners and connections and waits for the goroutines.
 func (e *Engine) Stop() {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/netio/netio_test.go
@@ -0,0 +1,151 @@
+package netio
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// An engine that is stopped right after its start stops: nbio's pollers would forget it and spin.
+func TestStopAtOnce(t *testing.T) {
+	for range 200 {
+		e, err := New("test", 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.Stop()
+	}
+}
+
+type echo struct {
+	mu     sync.Mutex
+	closed chan error
+	got    []byte
+	back   bool
+}
+
+func (h *echo) Data(c *Conn, p []byte) {
+	h.mu.Lock()
+	h.got = append(h.got, p...)
+	h.mu.Unlock()
+	if h.back {
+		_ = c.Write(p)
+	}
+}
+
+func (h *echo) Closed(_ *Conn, err error) { h.closed <- err }
+
+func start(t *testing.T, most int, h Handler) (*Engine, net.Listener) {
+	t.Helper()
+	e, err := New("test", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := e.Listen("127.0.0.1:0", most, func(*Conn) Handler { return h })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Stop)
+	return e, ln
+}
+
+func TestDialAndEcho(t *testing.T) {
+	e, ln := start(t, 1<<20, &echo{closed: make(chan error, 1), back: true})
+	mine := &echo{closed: make(chan error, 1)}
+	opened := make(chan *Conn, 1)
+	e.Dial(ln.Addr().String(), time.Second, 1<<20, mine, func(c *Conn, err error) {
+		if err != nil {
+			t.Error(err)
+		}
+		opened <- c
+	})
+	c := <-opened
+	want := bytes.Repeat([]byte("forkhead"), 10_000)
+	if err := c.Write(want); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		mine.mu.Lock()
+		same := bytes.Equal(mine.got, want)
+		mine.mu.Unlock()
+		if same {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the echo does not come")
+		}
+	}
+	c.Close()
+	if err := <-mine.closed; err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Write(want); !errors.Is(err, net.ErrClosed) {
+		t.Fatalf("a write after the end: %v", err)
+	}
+}
+
+// Nobody listens: the error comes back, and no connection.
+func TestDialFails(t *testing.T) {
+	e, ln := start(t, 1, &echo{closed: make(chan error, 1)})
+	address := ln.Addr().String()
+	_ = ln.Close()
+	got := make(chan error, 1)
+	e.Dial(address, time.Second, 1, &echo{}, func(c *Conn, err error) { got <- err })
+	if err := <-got; err == nil {
+		t.Fatal("no error")
+	}
+}
+
+// A reader that does not read costs its bound and no more: then its connection is closed.
+func TestWriteBound(t *testing.T) {
+	h := &flood{closed: make(chan error, 1)}
+	_, ln := start(t, 64<<10, h)
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte{1}); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-h.closed; !errors.Is(err, ErrFull) {
+		t.Fatalf("closed with %v", err)
+	}
+}
+
+type flood struct{ closed chan error }
+
+func (h *flood) Data(c *Conn, _ []byte) {
+	p := make([]byte, 32<<10)
+	for range 10_000 {
+		if c.Write(p) != nil {
+			return
+		}
+	}
+}
+
+func (h *flood) Closed(_ *Conn, err error) { h.closed <- err }
+
+// A reset is seen by the other end.
+func TestReset(t *testing.T) {
+	_, ln := start(t, 1, resetter{})
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = c.Write([]byte{1})
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err == nil || err == io.EOF {
+		t.Fatalf("read after a reset: %v", err)
+	}
+}
+
+type resetter struct{}
+
+func (resetter) Data(c *Conn, _ []byte) { c.Reset() }
+func (resetter) Closed(*Conn, error)    {}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -18,6 +18,7 @@
 type Facts struct {
 	Classes    map[string]Class
 	Parallel   bool          // two attempts of one ask may be out
+	Running    bool          // a task is bound when it runs, not when it is accepted
 	Grace      time.Duration // of a drain
 	LostAfter  time.Duration // a placer counts tasks of a host that is out of reach for so long
 	OwnerWait  time.Duration // after a placer's death, until its tasks may come again
@@ -44,7 +45,7 @@
 func FactsOf(s *settings.Settings, pace float64) Facts {
 	m := &s.Module
 	f := Facts{
-		Classes: map[string]Class{}, Parallel: m.ParallelAttempts, Grace: m.DrainGrace, LostAfter: s.Links.LostAfter,
+		Classes: map[string]Class{}, Parallel: m.ParallelAttempts, Running: m.BoundWhenRunning, Grace: m.DrainGrace, LostAfter: s.Links.LostAfter,
 		OwnerWait: m.OwnerWait, ColdFor: m.ColdFor, ColdFrom: m.ColdFrom, ColdWindow: m.ColdWindow, ColdOffers: m.ColdOffers,
 		ColdPace: pace, Multiple: m.ColdMultiple, Transit: 200 * time.Millisecond, Late: time.Second,
 	}
@@ -105,6 +106,7 @@
 	conn     uint64
 	at       time.Duration
 	accepted time.Duration
+	bound    time.Duration // the host said what makes the task count as placed
 	answered time.Duration // refused, accepted or ended
 	never    time.Duration // the host said that it never ran
 	over     time.Duration // the host said that it ended
@@ -207,6 +209,9 @@
 				first(&t.never, e.At)
 			case record.Accepted, record.Running:
 				first(&t.accepted, e.At)
+				if e.What == record.Running || !c.f.Running {
+					first(&t.bound, e.At)
+				}
 			case record.Ended:
 				if e.Result == "called" {
 					first(&t.never, e.At)
@@ -488,8 +493,11 @@
 		return false
 	}
 	if o.epoch == t.epoch {
-		if by(o.gone, slack) && (o.accepted == 0 || by(o.gone+c.f.LostAfter, slack)) {
-			return false
+		if by(o.gone, slack) {
+			// An attempt whose reply broke off is answered (reset) and counts no more; so is one whose
+			// word that it is bound was still on its way. A bound one counts until it is lost.
+			told := by(o.bound, o.gone-c.f.Transit)
+			return told && !by(o.gone+c.f.LostAfter, slack)
 		}
 		return true
 	}
