--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -273,7 +273,7 @@
 		return
 	}
 	for _, t := range h.sortedTries() {
-		if t.phase() == attempt.Silent && t.ask.Rules.Effect == forkhead.Safe {
+		if t.phase() == attempt.Silent && t.ask.Rules.Lapses() {
 			c.input(t, attempt.Lapsed, detail{})
 		}
 	}
@@ -302,11 +302,7 @@
 		if t == nil {
 			return
 		}
-		in := attempt.Declined
-		if p := t.phase(); p == attempt.Placed || p == attempt.Silent {
-			in = attempt.Missing // the answer to a Query
-		}
-		c.input(t, in, detail{reason: forkhead.Reason(f.Reason), report: report(f.Report)})
+		c.input(t, attempt.Refusal(t.phase()), detail{reason: forkhead.Reason(f.Reason), report: report(f.Report)})
 	case hostproto.Accepted:
 		if t := h.tries[f.Ref]; t != nil {
 			t.accepted = true
--- a/internal/core/projects.go
+++ b/internal/core/projects.go
@@ -644,8 +644,8 @@
 	}
 	w := svc.wishes[replica]
 	if w != nil && !svc.fostered {
-		free := (w.state == waiting || w.state == heldBack || w.state == asking && !w.ask.IsOut()) && !w.removing
-		if !free || w.key|1 != spec.Key|1 {
+		wanted := (w.state == waiting || w.state == heldBack || w.state == asking) && !w.removing
+		if !attempt.Adopts(wanted, w.ask != nil && w.ask.IsOut()) || w.key|1 != spec.Key|1 {
 			c.send(h, hostproto.Stop{Ref: held.Ref})
 			return
 		}
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -128,11 +128,6 @@
 	}
 }
 
-// repeatable says whether a second copy of a class's task does no harm anywhere.
-func repeatable(r *attempt.Rules) bool {
-	return r.Effect == forkhead.Safe || r.Effect == forkhead.Keyed && r.Group == forkhead.Anywhere
-}
-
 // offer carries out an Offer, if the guard lets it through.
 func (c *Core) offer(a forkhead.Offer) {
 	k, h := c.asks[a.Task], c.byID[a.Machine]
@@ -193,7 +188,7 @@
 // write sends an offer that waited for its connection, if it still may be sent.
 func (c *Core) write(t *try) {
 	k, h := t.ask, t.host
-	if h.state() != forkhead.Ready && c.now > h.since+c.set.Module.DrainGrace {
+	if guard.Drained(c.now, h.state(), h.since, c.set.Module.DrainGrace) {
 		// Guards against a drain told between choosing and writing.
 		c.input(t, attempt.Broke, detail{})
 		return
@@ -411,8 +406,8 @@
 // stray settles an attempt that was given up and now shows that it holds its task: where its
 // owner still wants the task and nothing else is out, it is taken as placed; else it is stopped.
 func (c *Core) stray(w *wish, t *try) {
-	free := !w.gone && !w.removing && (w.state == waiting || w.state == asking && (w.ask == nil || !w.ask.IsOut()))
-	if !free {
+	wanted := !w.gone && !w.removing && (w.state == waiting || w.state == asking)
+	if !attempt.Adopts(wanted, w.ask != nil && w.ask.IsOut()) {
 		c.send(t.host, hostproto.Stop{Ref: t.ref, Grace: w.grace()})
 		return
 	}
@@ -511,9 +506,6 @@
 	c.at(&timer{at: at, kind: timerAsk, wish: w, number: w.askSeq})
 }
 
-// askMargin is the least time that an ask is worth making for.
-const askMargin = 50 * time.Millisecond
-
 // askNow puts the task before the module, unless it has to wait until it may be asked for.
 func (c *Core) askNow(w *wish) {
 	if w.state != waiting || w.gone {
@@ -524,7 +516,7 @@
 		wait = c.set.Classes[w.class].Wait
 	}
 	if len(w.spec.Preferences) > 0 && !w.relaxed {
-		wait = min(wait/4, c.set.Module.Classes[w.class].Aim+askMargin) // the rest is for an ask without
+		wait = min(wait/4, c.set.Module.Classes[w.class].Aim+attempt.AskMargin) // the rest is for an ask without
 	}
 	wait = min(wait, w.owner.Until-c.now)
 	if w.blocked = c.mustWait(w, &wait); w.blocked || wait <= 0 {
@@ -545,35 +537,28 @@
 // forget its key.
 func (c *Core) mustWait(w *wish, wait *time.Duration) bool {
 	r := c.rules(w.class)
-	if r.Effect == forkhead.Safe {
-		return false
-	}
-	if c.now < c.gate() && !c.heardAll() {
+	if r.Waits(c.heardAll(), c.now >= c.gate()) {
 		// Guards against starting again what an earlier life had started: hosts say what they run.
 		w.askSeq++
-		c.at(&timer{at: min(c.gate(), c.now+askMargin), kind: timerAsk, wish: w, number: w.askSeq})
-		return true
-	}
-	if len(w.unsettled) == 0 {
-		return false
-	}
-	if !repeatable(&r) {
+		c.at(&timer{at: min(c.gate(), c.now+attempt.AskMargin), kind: timerAsk, wish: w, number: w.askSeq})
 		return true
 	}
 	first := c.now
 	for t := range w.unsettled {
 		first = min(first, t.ask.Attempts[t.number].At)
 	}
-	left := first + r.Window - c.now - askMargin
-	*wait = min(*wait, left)
-	return left < askMargin
+	most, ok := r.MayAsk(c.now, len(w.unsettled), first)
+	if most > 0 {
+		*wait = min(*wait, most)
+	}
+	return !ok
 }
 
 // gate is until when a new life waits to hear from all hosts before it starts what must not be
 // started twice.
 func (c *Core) gate() time.Duration {
 	if c.listedAt == 0 {
-		return c.now + askMargin
+		return c.now + attempt.AskMargin
 	}
 	return c.listedAt + c.set.Module.OwnerWait
 }
@@ -620,7 +605,7 @@
 // again asks for a task once more after a while, or gives it up.
 func (c *Core) again(w *wish, cause owner.Cause, advice, least time.Duration) {
 	r := c.rules(w.class)
-	harm := len(w.unsettled) > 0 && !repeatable(&r)
+	harm := len(w.unsettled) > 0 && !r.Repeatable()
 	at, ok := w.owner.Again(c.now, cause, harm, advice, least, c.policy, c.rng.Float64())
 	if !ok && w.claim == nil && w.lives > 0 {
 		// It was placed once and its outcome is told: its project wants it back for good.
@@ -658,10 +643,10 @@
 func (c *Core) giveUp(w *wish) {
 	r := c.rules(w.class)
 	word := WordRefused
-	if !w.refused && w.offers > 0 || len(w.unsettled) > 0 && !repeatable(&r) {
+	if !r.Harmless(w.refused, w.offers > 0, len(w.unsettled)) {
 		word = WordFailed
 	}
-	if len(w.unsettled) > 0 && !repeatable(&r) {
+	if len(w.unsettled) > 0 && !r.Repeatable() {
 		var names []string
 		for t := range w.unsettled {
 			names = append(names, t.host.name)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -64,6 +64,12 @@
 	return true
 }
 
+// Drained says whether nothing new may be sent to a host: it drains or is gone, and the grace since
+// that was told is over.
+func Drained(now time.Duration, s forkhead.State, since, grace time.Duration) bool {
+	return s != forkhead.Ready && now > since+grace
+}
+
 // Offer is an offer to be checked.
 type Offer struct {
 	Ask    *attempt.Ask
@@ -89,7 +95,7 @@
 		}
 		return &Veto{rule, err.Error()}
 	}
-	if o.To.State != forkhead.Ready && now > o.To.Since+o.Grace {
+	if Drained(now, o.To.State, o.To.Since, o.Grace) {
 		return &Veto{Drain, fmt.Sprintf("told %v ago that the host drains or is gone", now-o.To.Since)}
 	}
 	if o.Class.Kind >= 0 && o.Class.Kind != o.To.Kind {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"forkhead/internal/hostproto"
+	"forkhead/internal/hostside"
 )
 
 // Config is what a host is.
@@ -348,11 +349,9 @@
 	case hostproto.Offer:
 		h.offer(p, f)
 	case hostproto.Withdraw:
-		h.withdraw(p, f.Ref)
+		h.called(p, f.Ref, hostside.Withdraw)
 	case hostproto.Stop:
-		if t := h.tasks[f.Ref]; t != nil && t.placer == p.placer {
-			h.stop(t)
-		}
+		h.called(p, f.Ref, hostside.Stop)
 	case hostproto.Probe:
 		h.send(p, hostproto.Probed{ID: f.ID, Report: h.report()})
 	case hostproto.Query:
@@ -373,15 +372,17 @@
 	case p.ready:
 		h.bye(p, "a second Hello")
 		return
-	case f.Epoch < h.life[f.Placer]:
-		h.bye(p, "a later life of this placer is known")
+	}
+	old := h.peers[f.Placer]
+	last := hostside.Session{Epoch: h.life[f.Placer]}
+	if old != nil {
+		last.Conn, last.Open = old.conn, true
+	}
+	if hostside.Greet(last, f.Epoch, f.Conn) == hostside.TooOld {
+		h.bye(p, "a later life or connection of this placer is known")
 		return
 	}
-	if old := h.peers[f.Placer]; old != nil {
-		if old.epoch == f.Epoch && old.conn >= f.Conn {
-			h.bye(p, "a later connection of this placer is open")
-			return
-		}
+	if old != nil {
 		// Guards against frames that still stand in the buffers of the older connection.
 		h.out = append(h.out, Output{Conn: old.id})
 		h.closed(old.id)
@@ -414,20 +415,48 @@
 
 func (h *Host) query(p *peer, refs []hostproto.Ref) {
 	for _, ref := range refs {
-		t := h.tasks[ref]
-		switch {
-		case t != nil && t.phase == hostproto.Runs:
-			h.send(p, hostproto.Running{Ref: ref})
-		case t != nil && t.phase == hostproto.Starting:
-			h.send(p, hostproto.Accepted{Ref: ref})
-		case t != nil:
-		case h.over[ref] != nil:
-			h.send(p, h.over[ref])
-		case h.lost:
+		if h.lost && h.tasks[ref] == nil && h.over[ref] == nil {
 			h.send(p, hostproto.Ended{Ref: ref, Result: hostproto.Forgotten})
-		default:
-			h.send(p, hostproto.Refused{Ref: ref, Reason: hostproto.NotHere})
+			continue
+		}
+		_, say := hostside.Next(h.state(ref), hostside.Query)
+		h.reply(p.placer, ref, say, nil)
+	}
+}
+
+// state is where the host's machine has an attempt.
+func (h *Host) state(ref hostproto.Ref) hostside.State {
+	if t := h.tasks[ref]; t != nil {
+		return [...]hostside.State{hostside.InLine, hostside.Starting, hostside.Running}[t.phase]
+	}
+	switch f := h.over[ref].(type) {
+	case hostproto.Refused:
+		return hostside.Refused
+	case hostproto.Ended:
+		if f.Result == hostproto.Called {
+			return hostside.Called
+		}
+		return hostside.Ended
+	}
+	return hostside.Absent
+}
+
+// reply sends the frame that the machine says. over is the frame of an attempt that ends now; one
+// that had ended is told again as it was.
+func (h *Host) reply(placer uint16, ref hostproto.Ref, say hostside.Reply, over hostproto.Frame) {
+	switch say {
+	case hostside.SayAccepted:
+		h.say(placer, hostproto.Accepted{Ref: ref})
+	case hostside.SayRunning:
+		h.say(placer, hostproto.Running{Ref: ref})
+	case hostside.SayRefused, hostside.SayEnded, hostside.SayCalled:
+		if over == nil {
+			over = h.over[ref]
 		}
+		if over == nil {
+			over = hostproto.Refused{Ref: ref, Reason: hostproto.NotHere}
+		}
+		h.say(placer, over)
 	}
 }
 
@@ -450,7 +479,7 @@
 // ---- Offers.
 
 func (h *Host) offer(p *peer, f hostproto.Offer) {
-	if h.tasks[f.Ref] != nil || h.over[f.Ref] != nil {
+	if h.state(f.Ref) != hostside.Absent {
 		return // it came before
 	}
 	h.pressure()
@@ -590,25 +619,24 @@
 	return hostproto.NoReason
 }
 
-func (h *Host) withdraw(p *peer, ref hostproto.Ref) {
+// called takes a Withdraw or a Stop by the machine: an offer in line never runs, a start may have
+// done something and is ended, not undone, and what runs goes on unless it is stopped.
+func (h *Host) called(p *peer, ref hostproto.Ref, in hostside.Input) {
 	t := h.tasks[ref]
-	if t == nil || t.placer != p.placer {
-		if f := h.over[ref]; f != nil {
-			h.send(p, f)
-		}
+	if t != nil && t.placer != p.placer {
 		return
 	}
-	switch t.phase {
-	case hostproto.InLine:
+	to, say := hostside.Next(h.state(ref), in)
+	switch {
+	case t != nil && to == hostside.Called:
 		h.dropLine(func(o *task) bool { return o == t })
 		f := hostproto.Ended{Ref: ref, Result: hostproto.Called, Report: h.report()}
 		h.remember(t, f)
-		h.send(p, f)
-	case hostproto.Starting:
-		// The start may have done something: it is ended, not undone.
+		h.reply(t.placer, ref, say, f)
+	case t != nil && to == hostside.Ended:
 		h.end(t, hostproto.Stopped)
-	case hostproto.Runs:
-		h.send(p, hostproto.Running{Ref: ref})
+	default:
+		h.reply(p.placer, ref, say, nil)
 	}
 }
 
@@ -664,18 +692,6 @@
 	h.begin()
 }
 
-func (h *Host) stop(t *task) {
-	switch t.phase {
-	case hostproto.InLine:
-		h.dropLine(func(o *task) bool { return o == t })
-		f := hostproto.Ended{Ref: t.ref, Result: hostproto.Called}
-		h.remember(t, f)
-		h.say(t.placer, f)
-	default:
-		h.end(t, hostproto.Stopped)
-	}
-}
-
 // end ends a task that was accepted.
 func (h *Host) end(t *task, how hostproto.Result) {
 	h.starts = slices.DeleteFunc(h.starts, func(o *task) bool { return o == t })
