--- /dev/null
+++ b/internal/explore/dev_test.go
@@ -0,0 +1,35 @@
+package explore
+
+import (
+	"fmt"
+	"os"
+	"testing"
+)
+
+func TestDev(t *testing.T) {
+	if os.Getenv("DEV") == "" {
+		t.Skip()
+	}
+	for _, c := range []Config{
+		{Tasks: 1, Hosts: 1, Asks: 1, Attempts: 1},
+		{Tasks: 1, Hosts: 1, Asks: 1, Attempts: 1, Cuts: 1},
+		{Tasks: 1, Hosts: 1, Asks: 2, Attempts: 2, Cuts: 1, Deaths: 1},
+		{Tasks: 1, Hosts: 1, Asks: 2, Attempts: 2, Cuts: 1, Deaths: 1, Crashes: 1},
+		{Tasks: 1, Hosts: 2, Asks: 2, Attempts: 2},
+		{Tasks: 1, Hosts: 2, Asks: 2, Attempts: 2, Cuts: 1},
+		{Tasks: 1, Hosts: 2, Asks: 2, Attempts: 2, Deaths: 1},
+	} {
+		c.MostStates = 3_000_000
+		r, err := Run(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Printf("%+v: %d states depth %d complete %v ends %d %v %.0f/s %d MB size %d\n", c, r.States, r.Depth, r.Complete, r.Ends, r.Took, float64(r.States)/r.Took.Seconds(), r.Bytes>>20, StateSize)
+		for _, v := range r.Violations {
+			fmt.Println(v.Property, v.Why)
+			for _, l := range v.Trace {
+				fmt.Println("   ", l)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/explore/machines.go
@@ -0,0 +1,147 @@
+package explore
+
+import (
+	"time"
+
+	"forkhead"
+	"forkhead/internal/attempt"
+	"forkhead/internal/guard"
+	"forkhead/internal/hostlink"
+	"forkhead/internal/hostside"
+)
+
+// machines are the functions that the daemon runs. A plant replaces one of them, or one step of
+// how they are put together, to show that the search finds what it is for.
+type machines struct {
+	next      func(attempt.Phase, attempt.Input) (attempt.Phase, attempt.Effect)
+	mayOffer  func(a *attempt.Ask, now time.Duration, to attempt.Host) error
+	mayAnswer func(a *attempt.Ask, refuse bool) error
+	link      func(l *hostlink.Link, in hostlink.Input) hostlink.Output
+	side      func(hostside.State, hostside.Input) (hostside.State, hostside.Reply)
+	greet     func(last hostside.Session, epoch uint64, conn uint32) hostside.Verdict
+	drained   func(now time.Duration, s forkhead.State, since, grace time.Duration) bool
+	refusal   func(attempt.Phase) attempt.Input
+	adopts    func(wanted, out bool) bool
+	waits     func(r *attempt.Rules, heardAll, waited bool) bool
+	mayAsk    func(r *attempt.Rules, now time.Duration, unknown int, first time.Duration) (time.Duration, bool)
+	harmless  func(r *attempt.Rules, refused, offered bool, unknown int) bool
+
+	noQuery    bool // what a host does not list is not asked about
+	noStray    bool // a stray is neither adopted nor stopped
+	noCallOff  bool // an ask is answered without calling off what is out
+	keepsLine  bool // a host keeps offers in line when their connection ends
+	anyConn    bool // frames of an older connection are taken for ones of the present
+	recheckNot bool // a drain told between choosing and writing is not looked for again
+}
+
+func same(forkhead.Place, attempt.Host, attempt.Host) bool { return true }
+
+var linkPolicy = hostlink.Policy{Connect: time.Second, First: time.Second, Most: time.Second}
+
+func real() machines {
+	return machines{
+		next:      attempt.Next,
+		mayOffer:  func(a *attempt.Ask, now time.Duration, to attempt.Host) error { return a.MayOffer(now, to, same) },
+		mayAnswer: func(a *attempt.Ask, refuse bool) error { return a.MayAnswer(refuse) },
+		link:      func(l *hostlink.Link, in hostlink.Input) hostlink.Output { return l.On(in, linkPolicy, 0.5) },
+		side:      hostside.Next,
+		greet:     hostside.Greet,
+		drained:   guard.Drained,
+		refusal:   attempt.Refusal,
+		adopts:    attempt.Adopts,
+		waits:     (*attempt.Rules).Waits,
+		mayAsk:    (*attempt.Rules).MayAsk,
+		harmless:  (*attempt.Rules).Harmless,
+	}
+}
+
+// Plant is a named bug.
+type Plant struct {
+	Name     string
+	What     string
+	Property string // that it breaks
+	Effect   forkhead.Effect
+	plant    func(*machines)
+}
+
+func phaseRule(p attempt.Phase, in attempt.Input, to attempt.Phase, what attempt.Effect) func(*machines) {
+	return func(m *machines) {
+		m.next = func(q attempt.Phase, i attempt.Input) (attempt.Phase, attempt.Effect) {
+			if q == p && i == in {
+				return to, what
+			}
+			return attempt.Next(q, i)
+		}
+	}
+}
+
+// Plants are the bugs that can be planted.
+var Plants = []Plant{
+	{"double-send", "an offer is legal while another is out", "one-out", forkhead.Safe, func(m *machines) {
+		m.mayOffer = func(a *attempt.Ask, now time.Duration, to attempt.Host) error {
+			if err := a.MayOffer(now, to, same); err != attempt.ErrTwoOut {
+				return err
+			}
+			return nil
+		}
+	}},
+	{"unsafe-repeat", "an unsafe task is offered again in one ask after an attempt that may have run", "no-repeat", forkhead.Unsafe, func(m *machines) {
+		m.mayOffer = func(a *attempt.Ask, now time.Duration, to attempt.Host) error {
+			if err := a.MayOffer(now, to, same); err != attempt.ErrMayRun {
+				return err
+			}
+			return nil
+		}
+	}},
+	{"window", "a keyed task is offered again after hosts have forgotten its key", "no-repeat", forkhead.Keyed, func(m *machines) {
+		m.mayAsk = func(*attempt.Rules, time.Duration, int, time.Duration) (time.Duration, bool) { return 0, true }
+	}},
+	{"promise", "a task that may run is told refused", "promise", forkhead.Unsafe, func(m *machines) {
+		m.harmless = func(*attempt.Rules, bool, bool, int) bool { return true }
+	}},
+	{"break-is-never", "an offer whose connection broke is taken never to have run", "no-repeat", forkhead.Unsafe,
+		phaseRule(attempt.Out, attempt.Broke, attempt.Never, attempt.NoConnect)},
+	{"call-off-is-never", "an offer that was called off is taken never to have run", "no-repeat", forkhead.Unsafe,
+		phaseRule(attempt.Out, attempt.CalledOff, attempt.Never, attempt.Drop)},
+	{"late-bind", "the reply to an attempt that was given up binds it", "one-outcome", forkhead.Safe,
+		phaseRule(attempt.Unknown, attempt.Accepted, attempt.Placed, attempt.Bind)},
+	{"silent-is-lost", "a task on a host out of reach is taken to have ended", "no-repeat", forkhead.Unsafe,
+		phaseRule(attempt.Placed, attempt.Broke, attempt.Over, attempt.Lose)},
+	{"no-stray", "an attempt that was given up and shows itself is neither adopted nor stopped", "no-leak", forkhead.Safe,
+		func(m *machines) { m.noStray = true }},
+	{"no-query", "what a host does not list after a break is not asked about", "no-leak", forkhead.Unsafe, func(m *machines) { m.noQuery = true }},
+	{"ask-early", "a task is asked for again while an attempt of an earlier ask is unknown", "no-repeat", forkhead.Unsafe, func(m *machines) {
+		m.mayAsk = func(*attempt.Rules, time.Duration, int, time.Duration) (time.Duration, bool) { return 0, true }
+	}},
+	{"no-gate", "a new life of the placer does not wait for what hosts run", "no-repeat", forkhead.Unsafe, func(m *machines) {
+		m.waits = func(*attempt.Rules, bool, bool) bool { return false }
+	}},
+	{"drain-at-write", "a drain told between choosing and writing is not looked for again", "drain", forkhead.Safe,
+		func(m *machines) { m.recheckNot = true }},
+	{"keeps-line", "a host keeps offers in line whose connection ended, and says that it never saw them", "no-repeat", forkhead.Unsafe, func(m *machines) {
+		m.keepsLine = true
+		m.side = func(s hostside.State, in hostside.Input) (hostside.State, hostside.Reply) {
+			if s == hostside.InLine && in == hostside.Query {
+				return s, hostside.SayRefused
+			}
+			return hostside.Next(s, in)
+		}
+	}},
+	{"old-connection", "a host goes on reading an older connection beside the present one", "no-repeat", forkhead.Unsafe,
+		func(m *machines) { m.anyConn = true }},
+	{"adopt-twice", "a stray is adopted while another attempt is out", "no-leak", forkhead.Safe, func(m *machines) {
+		m.adopts = func(wanted, _ bool) bool { return wanted }
+	}},
+	{"died-ignored", "the end of a host's life settles nothing", "no-leak", forkhead.Unsafe,
+		phaseRule(attempt.Unknown, attempt.Died, attempt.Unknown, attempt.None)},
+}
+
+// FindPlant returns a plant by name.
+func FindPlant(name string) (*Plant, bool) {
+	for i := range Plants {
+		if Plants[i].Name == name {
+			return &Plants[i], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/explore/search.go
@@ -0,0 +1,290 @@
+package explore
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+	"unsafe"
+
+	"github.com/cespare/xxhash/v2"
+
+	"forkhead"
+	"forkhead/internal/attempt"
+)
+
+// Config bounds a search.
+type Config struct {
+	Tasks, Hosts int // up to 3 and 2
+	Effect       forkhead.Effect
+	Asks         int // of a task in one life of the placer
+	Attempts     int // of a task, over all asks and lives; up to 3
+	Cuts         int // connections cut
+	Deaths       int // of hosts
+	Crashes      int // of the placer
+	Drains       int
+	Ends         bool // tasks may end by themselves
+	Plant        string
+	Workers      int // 0: one a processor
+	MostStates   int // 0: 200 million
+	Progress     func(states, depth int)
+
+	keyed bool
+	named bool
+}
+
+// Violation is a property that is broken, with the shortest way there.
+type Violation struct {
+	Property string   `json:"property"`
+	Why      string   `json:"why"`
+	Trace    []string `json:"trace"`
+}
+
+// Result is what a search came to.
+type Result struct {
+	States     int           `json:"states"`
+	Steps      int           `json:"steps"`
+	Ends       int           `json:"ends"` // states in which nothing fair is left to happen
+	Depth      int           `json:"depth"`
+	Complete   bool          `json:"complete"`
+	Violations []Violation   `json:"violations"`
+	Took       time.Duration `json:"took"`
+	Bytes      uint64        `json:"bytes"` // of memory in use at the end
+}
+
+// Properties and what each says.
+var Properties = []struct{ Name, Text string }{
+	{"one-outcome", "A task is told one outcome in one life of its placer."},
+	{"liveness", "Where nothing fair is left to happen, every task has been told its outcome; each fair step uses something up, so a fair run comes there."},
+	{"one-out", "No offer is written while another of the same ask is waiting or unanswered."},
+	{"no-repeat", "No offer of an unsafe task, or of a keyed one after its window, is written while an earlier attempt of any ask or life may run or have run, unless the placer knows that it is over and the ask is a new one; and no unsafe task starts while another start of it runs."},
+	{"drain", "No offer is written to a host after the grace of a drain that the placer was told of."},
+	{"after-outcome", "No offer is written for a task that was told refused or failed."},
+	{"promise", "No unsafe task is told refused while an attempt that the placer does not know the fate of may run."},
+	{"no-leak", "Where nothing fair is left to happen, every attempt is settled or placed, every task that a host holds is some owner's placed one, and every placed one is held."},
+	{"absurd", "No host that follows its machine says what the placer's machine calls absurd."},
+}
+
+const shards = 256
+
+type entry struct {
+	parent uint64
+	action uint16
+}
+
+type shard struct {
+	mu   sync.Mutex
+	seen map[uint64]entry
+}
+
+type search struct {
+	model
+	shards [shards]shard
+	count  atomic.Int64
+	steps  atomic.Int64
+	ends   atomic.Int64
+	mu     sync.Mutex
+	found  []hit
+}
+
+type hit struct {
+	hash     uint64 // of the state from which
+	action   int    // this action breaks it; -1: the state itself does
+	property string
+	why      string
+}
+
+// Run searches breadth first, so that the first violation has a shortest trace.
+func Run(cfg Config) (*Result, error) {
+	if cfg.Tasks < 1 || cfg.Tasks > mostTasks || cfg.Hosts < 1 || cfg.Hosts > mostHosts || cfg.Attempts < 1 || cfg.Attempts > mostAttempts {
+		return nil, fmt.Errorf("%d tasks, %d hosts and %d attempts: want 1 to %d, 1 to %d and 1 to %d", cfg.Tasks, cfg.Hosts, cfg.Attempts, mostTasks, mostHosts, mostAttempts)
+	}
+	s := &search{model: model{m: real(), cfg: cfg, rules: attempt.Rules{Effect: cfg.Effect, Window: 10 * second, Most: 2}}}
+	s.cfg.keyed = cfg.Effect == forkhead.Keyed
+	if cfg.Plant != "" {
+		p, ok := FindPlant(cfg.Plant)
+		if !ok {
+			return nil, fmt.Errorf("no plant is named %q", cfg.Plant)
+		}
+		p.plant(&s.m)
+	}
+	if cfg.Workers == 0 {
+		s.cfg.Workers = runtime.GOMAXPROCS(0)
+	}
+	if cfg.MostStates == 0 {
+		s.cfg.MostStates = 200_000_000
+	}
+	for i := range s.shards {
+		s.shards[i].seen = map[uint64]entry{}
+	}
+	return s.run()
+}
+
+func start(cfg *Config) state {
+	var s state
+	for hi := range cfg.Hosts {
+		s.hosts[hi].up, s.hosts[hi].epoch = 1, 1
+	}
+	return s
+}
+
+func (s *search) run() (*Result, error) {
+	began := time.Now()
+	root := start(&s.cfg)
+	root = root.canonical(s.cfg.Tasks, s.cfg.Hosts)
+	frontier := []state{root}
+	s.add(xxhash.Sum64(root.bytes()), 0, 0)
+	r := &Result{Complete: true, Violations: []Violation{}}
+	for len(frontier) > 0 && len(s.found) == 0 {
+		if int(s.count.Load()) > s.cfg.MostStates {
+			r.Complete = false
+			break
+		}
+		frontier = s.level(frontier)
+		if len(frontier) > 0 {
+			r.Depth++
+		}
+		if s.cfg.Progress != nil {
+			s.cfg.Progress(int(s.count.Load()), r.Depth)
+		}
+	}
+	for _, h := range s.found {
+		r.Violations = append(r.Violations, Violation{Property: h.property, Why: h.why, Trace: s.trace(root, h)})
+		break // of one depth, one is enough
+	}
+	r.Complete = r.Complete && len(s.found) == 0
+	r.States, r.Steps, r.Ends, r.Took = int(s.count.Load()), int(s.steps.Load()), int(s.ends.Load()), time.Since(began)
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	r.Bytes = m.Sys
+	return r, nil
+}
+
+// level expands a frontier on all workers and returns the next one.
+func (s *search) level(frontier []state) []state {
+	const chunk = 256
+	var at atomic.Int64
+	parts := make([][]state, s.cfg.Workers)
+	var wait sync.WaitGroup
+	for w := range s.cfg.Workers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			var acts []action
+			for {
+				from := int(at.Add(chunk)) - chunk
+				if from >= len(frontier) {
+					return
+				}
+				for i := from; i < min(from+chunk, len(frontier)); i++ {
+					parts[w], acts = s.expand(&frontier[i], parts[w], acts)
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	n := 0
+	for _, p := range parts {
+		n += len(p)
+	}
+	out := make([]state, 0, n)
+	for _, p := range parts {
+		out = append(out, p...)
+	}
+	return out
+}
+
+func (s *search) expand(from *state, out []state, acts []action) ([]state, []action) {
+	hash := xxhash.Sum64(from.bytes())
+	acts = s.actions(from, acts)
+	fair := false
+	for i := range acts {
+		next := *from
+		st := step{model: &s.model, s: &next}
+		acts[i].do(&st)
+		if st.full {
+			continue // a queue is full: the sender waits
+		}
+		fair = fair || acts[i].fair
+		s.steps.Add(1)
+		if st.bad != "" {
+			s.hit(hit{hash, i, st.bad, st.why})
+			continue
+		}
+		c := next.canonical(s.cfg.Tasks, s.cfg.Hosts)
+		if s.add(xxhash.Sum64(c.bytes()), hash, uint16(i)) {
+			out = append(out, c)
+		}
+	}
+	if !fair {
+		s.ends.Add(1)
+		if property, why := s.checkEnd(from); property != "" {
+			s.hit(hit{hash, -1, property, why})
+		}
+	}
+	return out, acts
+}
+
+func (s *search) hit(h hit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.found) < 100 {
+		s.found = append(s.found, h)
+	}
+}
+
+// add notes a state by its hash; it is false if it is known. Two states with one 64-bit hash are
+// taken for one: at 100 million states the chance that any two are is 3 in 10,000.
+func (s *search) add(hash, parent uint64, act uint16) bool {
+	sh := &s.shards[hash%shards]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if _, ok := sh.seen[hash]; ok {
+		return false
+	}
+	sh.seen[hash] = entry{parent, act}
+	s.count.Add(1)
+	return true
+}
+
+// trace walks back from a hit to the root, and forward again on states as they are, not on
+// canonical ones, so that task 1 stays task 1 throughout.
+func (s *search) trace(root state, h hit) []string {
+	rootHash := xxhash.Sum64(root.bytes())
+	var want []uint64
+	for at := h.hash; at != rootHash; {
+		want = append(want, at)
+		at = s.shards[at%shards].seen[at].parent
+	}
+	s.cfg.named = true
+	defer func() { s.cfg.named = false }()
+	cur := root
+	var lines []string
+	take := func(good func(next *state, st *step) bool) {
+		for _, a := range s.actions(&cur, nil) {
+			next := cur
+			st := step{model: &s.model, s: &next}
+			a.do(&st)
+			if !st.full && good(&next, &st) {
+				lines = append(lines, a.name)
+				cur = next
+				return
+			}
+		}
+		lines = append(lines, "(two states share a hash: the trace is lost here)")
+	}
+	for i := len(want) - 1; i >= 0; i-- {
+		take(func(next *state, st *step) bool {
+			c := next.canonical(s.cfg.Tasks, s.cfg.Hosts)
+			return st.bad == "" && xxhash.Sum64(c.bytes()) == want[i]
+		})
+	}
+	if h.action >= 0 {
+		take(func(_ *state, st *step) bool { return st.bad == h.property })
+	}
+	return lines
+}
+
+// StateSize is how many bytes a state takes.
+const StateSize = int(unsafe.Sizeof(state{}))
