A removed task's successor waits for its end; a vetoed attempt may be withdrawn

The new one now follows the old one's end, bounded by its patience, and unsafe tasks are never replaced start-first. A broken module's Withdraw of a vetoed attempt crashed the placer; both have tests.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -208,7 +208,8 @@
 	case forkhead.Fail:
 		c.answer(a.Task, false, 0)
 	case forkhead.Withdraw:
-		if k := c.asks[a.Task]; k != nil && a.Attempt >= 0 && a.Attempt < len(k.tries) {
+		k := c.asks[a.Task]
+		if k != nil && a.Attempt >= 0 && a.Attempt < len(k.tries) && k.tries[a.Attempt] != nil { // nil: vetoed
 			c.input(k.tries[a.Attempt], attempt.CalledOff, detail{})
 		}
 	case forkhead.Stop:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"forkhead"
 	"forkhead/internal/hostproto"
 	"forkhead/internal/standin"
 )
@@ -296,6 +297,39 @@
 	}
 }
 
+// A project that is removed and submitted again at once: no task starts while its earlier copy
+// has not ended, also where that takes a while. Found by a bad day, as a breach of rule 2.
+func TestRemoveAndSubmitAgain(t *testing.T) {
+	s := newSim(t, testSettings(t, ""), 4)
+	text := "name: p\nservices: {l: {x-forkhead: {class: ledger}, deploy: {replicas: 4}}}"
+	s.await(s.submit("", text), 5*time.Second)
+	s.delay = 100 * time.Millisecond
+	s.step(Remove{Request: 2, Project: "p"})
+	stopped := s.now
+	out := s.await(s.submit("", text), 10*time.Second)
+	if count(out, WordPlaced) != 4 {
+		t.Fatalf("outcomes: %+v", out)
+	}
+	for _, o := range s.offers[4:] {
+		if o.at < stopped+2*s.delay {
+			t.Fatalf("%s is offered %v after the stop of its earlier copy was sent", o.offer.Spec.Name, o.at-stopped)
+		}
+	}
+	if n := s.running(); n != 4 {
+		t.Fatalf("%d run", n)
+	}
+	// Out of reach, it is refused, and nothing is offered.
+	for _, h := range s.names {
+		s.hosts[h].mute = true
+	}
+	n := len(s.offers)
+	s.step(Remove{Request: 3, Project: "p"})
+	if out := s.await(s.submit("", text), 60*time.Second); count(out, WordRefused) != 4 || len(s.offers) != n {
+		t.Fatalf("outcomes: %+v, %d new offers", out, len(s.offers)-n)
+	}
+	s.clean()
+}
+
 // An update whose first tasks cannot be placed is stopped; what was not yet replaced runs on.
 func TestUpdatePauses(t *testing.T) {
 	s := newSim(t, testSettings(t, ""), 2)
@@ -476,6 +510,34 @@
 	s.clean()
 }
 
+// A module that offers twice and withdraws what was vetoed, and what never was: vetoed, counted,
+// and the placer goes on.
+func TestVetoes(t *testing.T) {
+	set := testSettings(t, "")
+	module, err := forkhead.New(set.Module, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSim(t, set, 4, func(c *Config) {
+		c.Decide = func(now time.Duration, events []forkhead.Event) (out []forkhead.Action) {
+			for _, a := range module.Step(now, events) {
+				out = append(out, a)
+				if o, ok := a.(forkhead.Offer); ok {
+					out = append(out, o, forkhead.Withdraw{Task: o.Task, Attempt: 1}, forkhead.Withdraw{Task: o.Task, Attempt: 7},
+						forkhead.Offer{Task: 9999, Machine: o.Machine}, forkhead.Refuse{Task: 9999})
+				}
+			}
+			return out
+		}
+	})
+	if out := s.await(s.submit("", "services: {l: {x-forkhead: {class: ledger}}}"), 10*time.Second); count(out, WordPlaced) != 1 {
+		t.Fatalf("outcomes: %+v", out)
+	}
+	if st := s.core.Status(); st.Vetoes != 3 || st.ByRule["no_repeat"] != 1 || st.ByRule["one_answer"] != 2 || st.Defects != 3 || len(s.offers) != 1 {
+		t.Fatalf("%+v, %d offers", st, len(s.offers))
+	}
+}
+
 // The same inputs at the same times give the same outputs.
 func TestDeterminism(t *testing.T) {
 	play := func() (string, int) {
--- a/internal/core/projects.go
+++ b/internal/core/projects.go
@@ -282,9 +282,12 @@
 		w = nil
 	}
 	if w != nil && w.removing {
-		// It is on its way out: let go of it, and begin anew beside it.
-		delete(svc.wishes, replica)
-		w = nil
+		// It is on its way out. Guards against a second copy, under the same key, beside one that has
+		// not ended yet: the new one follows it.
+		w.removing = false
+		w.claim, w.next = cl, svc.spec
+		c.awaitEnd(w)
+		return nil
 	}
 	if w == nil {
 		w = c.newWish(svc, replica, svc.spec)
@@ -532,8 +535,10 @@
 	}
 	w.updating = true
 	w.svc.before[w] = w.spec
-	if !spec.Update.StartFirst {
+	// Two copies of what must never run twice are not started side by side, whatever the order.
+	if !spec.Update.StartFirst || c.rules(w.class).Effect == forkhead.Unsafe {
 		w.next = spec
+		c.awaitEnd(w)
 		c.halt(w)
 		return
 	}
@@ -544,6 +549,17 @@
 	c.begin(twin)
 }
 
+// awaitEnd bounds the wait for a task's earlier copy to end: its host may be out of reach.
+func (c *Core) awaitEnd(w *wish) {
+	patience := w.next.Patience
+	if patience == 0 {
+		patience = c.set.Classes[c.classOf(w.next)].Patience
+	}
+	w.owner.Until = c.now + patience
+	w.giveUpSeq++
+	c.at(&timer{at: w.owner.Until, kind: timerGiveUp, wish: w, number: w.giveUpSeq})
+}
+
 // replaced follows the end of the old copy: the new one is asked for.
 func (c *Core) replaced(w *wish) {
 	spec := w.next
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -627,7 +627,15 @@
 
 // impatient ends the wait of an owner whose time is over.
 func (c *Core) impatient(w *wish) {
-	if w.claim == nil || w.state == placed || w.state == done || w.gone {
+	if w.claim == nil || w.state == done || w.gone {
+		return
+	}
+	if w.state == placed {
+		if w.next != nil { // the old copy has not ended: nothing was offered for the new one
+			c.outcome(w, WordRefused, nil, "its earlier copy on "+w.try.host.name+" has not ended")
+			w.next, w.removing = nil, true
+			c.rolledOut(w, false)
+		}
 		return
 	}
 	if w.state == asking {
