The explorer finds an offer written after its key is forgotten; mended

Cause: an offer chosen within a keyed task's window may wait up to the connect timeout for its connection, and was then written without another look.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -232,6 +232,27 @@
 	return nil
 }
 
+// MayWrite says whether an attempt that waited for its connection may still be written. Guards
+// against a wait that outlasts the ask, or the time for which hosts remember its key: found by the
+// explorer, where an offer was legal when it was chosen and not any more when it could be sent.
+func (a *Ask) MayWrite(now time.Duration, number int) error {
+	if a.Answer != Open {
+		return ErrAnswered
+	}
+	if now > a.Deadline {
+		return ErrLate
+	}
+	for i := range a.Attempts {
+		if at := &a.Attempts[i]; i != number && at.Phase.MayRun() {
+			if a.Rules.Effect == forkhead.Keyed && now >= at.At+a.Rules.Window {
+				return ErrWindow
+			}
+			break // the first that may have run is what hosts remember
+		}
+	}
+	return nil
+}
+
 // Offer notes a new attempt, which is Waiting, and returns its number. Check MayOffer first.
 func (a *Ask) Offer(now time.Duration, to Host) int {
 	a.Attempts = append(a.Attempts, Attempt{Host: to, At: now})
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -89,6 +89,26 @@
 	}
 }
 
+// An offer that waited for its connection is written only while it is still legal.
+func TestMayWrite(t *testing.T) {
+	const s = time.Second
+	a := Ask{Rules: Rules{Most: 4, Effect: forkhead.Keyed, Window: 5 * s}, Deadline: 10 * s}
+	first := a.Offer(s, 1)
+	a.On(first, Written)
+	a.On(first, Broke)
+	second := a.Offer(5*s, 2)
+	for at, want := range map[time.Duration]error{5 * s: nil, 6 * s: ErrWindow, 11 * s: ErrLate} {
+		if err := a.MayWrite(at, second); err != want {
+			t.Errorf("at %v: %v, want %v", at, err, want)
+		}
+	}
+	a.On(second, CalledOff)
+	a.End(true)
+	if err := a.MayWrite(5*s, second); err != ErrAnswered {
+		t.Errorf("answered: %v", err)
+	}
+}
+
 // Whatever happens in whatever order, as long as what is illegal is not done: one answer, one
 // attempt out, no repeat of what may have run, and an ask that is done stays done.
 func TestAnyOrder(t *testing.T) {
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -188,8 +188,8 @@
 // write sends an offer that waited for its connection, if it still may be sent.
 func (c *Core) write(t *try) {
 	k, h := t.ask, t.host
-	if guard.Drained(c.now, h.state(), h.since, c.set.Module.DrainGrace) {
-		// Guards against a drain told between choosing and writing.
+	if guard.Drained(c.now, h.state(), h.since, c.set.Module.DrainGrace) || k.MayWrite(c.now, t.number) != nil {
+		// Guards against a drain told between choosing and writing, and a wait that was too long.
 		c.input(t, attempt.Broke, detail{})
 		return
 	}
