--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -159,11 +159,11 @@
 
 // The page holds the table as the code has it.
 func TestTableOnPage(t *testing.T) {
-	page, err := os.ReadFile("../../docs/design/placer.md")
+	page, err := os.ReadFile("../../docs/design/attempts.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	if !strings.Contains(string(page), Table()) {
-		t.Fatalf("docs/design/placer.md does not hold this table:\n%s", Table())
+		t.Fatalf("docs/design/attempts.md does not hold this table:\n%s", Table())
 	}
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -48,6 +48,12 @@
 		"no such placer":   {[]string{"serve", "--self", "9"}, 2, "placers 0 to 2"},
 		"broken script":    {[]string{"badday", write("b.sexp", "(badday (hosts 0 (kind x)))")}, 2, "b.sexp:1:16"},
 		"nobody serves":    {[]string{"submit", good, "--to", "127.0.0.1:1", "--tries", "1"}, 1, "refused"},
+		"explore":          {[]string{"explore", "--tasks", "1", "--output", "json"}, 0, `"complete":true,"violations":[]}`},
+		"explore a plant":  {[]string{"explore", "--plant", "double-send", "--output", "json"}, 3, `"property":"one-out"`},
+		"list plants":      {[]string{"explore", "--list-plants"}, 0, "old-connection"},
+		"no such plant":    {[]string{"explore", "--plant", "weeds"}, 2, "no plant is named"},
+		"no such effect":   {[]string{"explore", "--effect", "odd"}, 2, "want safe, keyed, unsafe or all"},
+		"too many tasks":   {[]string{"explore", "--tasks", "9"}, 2, "want 1 to 3"},
 		"try a broken one": {[]string{"try", broken}, 2, "broken.yaml:2:7"},
 	} {
 		code, out, errs := run(c.args...)
--- a/internal/cli/explore.go
+++ b/internal/cli/explore.go
@@ -59,8 +59,11 @@
 						names = []string{name}
 					}
 				}
-				if !cmd.Flags().Changed("faults") {
-					cfg.Faults = p.Faults
+				// Enough for it to show, unless told otherwise.
+				for name, to := range map[string]*int{"faults": &cfg.Faults, "tasks": &cfg.Tasks, "asks": &cfg.Asks, "hosts": &cfg.Hosts} {
+					if !cmd.Flags().Changed(name) {
+						*to = map[string]int{"faults": p.Faults, "tasks": 1, "asks": 2, "hosts": 3 - p.Faults}[name]
+					}
 				}
 			}
 			found := false
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -1,6 +1,7 @@
 package explore
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -49,3 +50,63 @@
 		}
 	}
 }
+
+// The page says what is searched for in the words of the code.
+func TestPropertiesOnPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/design/attempts.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range Properties {
+		if !strings.Contains(string(page), "| "+p.Name+" | "+p.Text+" |") {
+			t.Errorf("docs/design/attempts.md lacks the row of %s", p.Name)
+		}
+	}
+	for _, p := range Plants {
+		if !strings.Contains(string(page), "`"+p.Name+"`") {
+			t.Errorf("docs/design/attempts.md lacks the plant %s", p.Name)
+		}
+	}
+}
+
+// A state is its bytes: two tasks, or two hosts, that change places are one state.
+func TestCanonical(t *testing.T) {
+	cfg := Config{Tasks: 3, Hosts: 2, Asks: 1, Attempts: 2, Faults: 1}
+	m := model{m: real(), cfg: cfg}
+	s := start(&cfg)
+	var acts []action
+	for i := range 40 {
+		if acts = m.actions(&s, acts); len(acts) == 0 {
+			break
+		}
+		next := s
+		st := step{model: &m, s: &next}
+		acts[(i*7)%len(acts)].do(&st)
+		if st.full || st.bad != "" {
+			continue
+		}
+		s = next
+		want := s.canonical(3, 2)
+		for _, hp := range permutations[2] {
+			for _, tp := range permutations[3] {
+				c := s.permuted(tp, hp)
+				if got := c.canonical(3, 2); got != want {
+					t.Fatalf("step %d: tasks %v and hosts %v change the canonical state", i, tp, hp)
+				}
+			}
+		}
+	}
+}
+
+func BenchmarkExpand(b *testing.B) {
+	b.ReportAllocs()
+	states := 0
+	for b.Loop() {
+		r, err := Run(Config{Tasks: 1, Hosts: 2, Effect: forkhead.Unsafe, Asks: 2, Attempts: 2, Faults: 1})
+		if err != nil {
+			b.Fatal(err)
+		}
+		states += r.States
+	}
+	b.ReportMetric(float64(states)/b.Elapsed().Seconds(), "states/s")
+}
--- a/internal/hostside/hostside.go
+++ b/internal/hostside/hostside.go
@@ -137,3 +137,33 @@
 	}
 	return Welcome
 }
+
+// Table writes the transition function as rows of a page.
+func Table() string {
+	out := "| input |"
+	for s := range States {
+		out += " " + s.String() + " |"
+	}
+	out += "\n| --- |"
+	for range States {
+		out += " --- |"
+	}
+	out += "\n"
+	for in := range Inputs {
+		out += "| " + in.String() + " |"
+		for s := range States {
+			switch t := table[s][in]; {
+			case t.to == s && t.say == Nothing:
+				out += " |"
+			case t.say == Nothing:
+				out += " " + t.to.String() + " |"
+			case t.to == s:
+				out += " says " + t.say.String() + " |"
+			default:
+				out += " " + t.to.String() + ", says " + t.say.String() + " |"
+			}
+		}
+		out += "\n"
+	}
+	return out
+}
--- /dev/null
+++ b/internal/hostside/hostside_test.go
@@ -0,0 +1,63 @@
+package hostside
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// What holds of the whole table: what never ran is never said to have run, what may have run is
+// never said not to have, and a settled attempt stays as it is.
+func TestTable(t *testing.T) {
+	ran := func(s State) bool { return s == Starting || s == Running || s == Ended }
+	for s := range States {
+		for in := range Inputs {
+			to, say := Next(s, in)
+			if ran(s) && !ran(to) {
+				t.Errorf("%v may have run, and %v makes it %v", s, in, to)
+			}
+			if !ran(s) && ran(to) && in != Accept {
+				t.Errorf("%v starts on %v", s, in)
+			}
+			if ran(to) && (say == SayRefused || say == SayCalled) {
+				t.Errorf("%v on %v says %v of what may have run", s, in, say)
+			}
+			if !ran(to) && say == SayEnded {
+				t.Errorf("%v on %v says that it ended, and it never ran", s, in)
+			}
+			if in == Query && s != InLine && say == Nothing {
+				t.Errorf("a query about %v stays unanswered", s)
+			}
+			if (s == Refused || s == Called || s == Ended) && to != s {
+				t.Errorf("%v is settled, and %v makes it %v", s, in, to)
+			}
+		}
+	}
+}
+
+func TestGreet(t *testing.T) {
+	last := Session{Epoch: 5, Conn: 3, Open: true}
+	for _, c := range []struct {
+		epoch uint64
+		conn  uint32
+		want  Verdict
+	}{{5, 4, Welcome}, {6, 1, Welcome}, {5, 3, TooOld}, {5, 2, TooOld}, {4, 9, TooOld}} {
+		if got := Greet(last, c.epoch, c.conn); got != c.want {
+			t.Errorf("life %d, connection %d: %v", c.epoch, c.conn, got)
+		}
+	}
+	if last.Open = false; Greet(last, 5, 1) != Welcome {
+		t.Error("a connection of the same life is turned away where none is open")
+	}
+}
+
+// The page holds the table as the code has it.
+func TestTableOnPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/design/attempts.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Table()) {
+		t.Fatalf("docs/design/attempts.md does not hold this table:\n%s", Table())
+	}
+}
