--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -50,6 +50,8 @@
 		"nobody serves":    {[]string{"submit", good, "--to", "127.0.0.1:1", "--tries", "1"}, 1, "refused"},
 		"explore":          {[]string{"explore", "--tasks", "1", "--output", "json"}, 0, `"complete":true,"violations":[]}`},
 		"explore a plant":  {[]string{"explore", "--plant", "double-send", "--output", "json"}, 3, `"property":"one-out"`},
+		"lives":            {[]string{"explore", "--lives", "5", "--output", "json"}, 0, `"failed":[]`},
+		"no trace":         {[]string{"explore", "--replay", good}, 2, "not a trace"},
 		"list plants":      {[]string{"explore", "--list-plants"}, 0, "old-connection"},
 		"no such plant":    {[]string{"explore", "--plant", "weeds"}, 2, "no plant is named"},
 		"no such effect":   {[]string{"explore", "--effect", "odd"}, 2, "want safe, keyed, unsafe or all"},
@@ -66,6 +68,17 @@
 	}
 }
 
+// A trace that the search writes can be played through the real core, which vetoes what was planted.
+func TestTraceAndReplay(t *testing.T) {
+	trace := filepath.Join(t.TempDir(), "trace.json")
+	if code, out, errs := run("explore", "--plant", "double-send", "--trace", trace); code != 3 || !strings.Contains(out, "BROKEN one-out") {
+		t.Fatalf("exit %d: %s %s", code, out, errs)
+	}
+	if code, out, errs := run("explore", "--replay", trace); code != 0 || !strings.Contains(out, "1 vetoes, 1 offers written") {
+		t.Fatalf("exit %d: %s %s", code, out, errs)
+	}
+}
+
 // The two examples of the README: all placed, and some refused with their reason.
 func TestTry(t *testing.T) {
 	for file, c := range map[string]struct{ code, placed, refused int }{
--- a/internal/cli/explore.go
+++ b/internal/cli/explore.go
@@ -1,10 +1,15 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
+	"runtime"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"text/tabwriter"
 	"time"
 
@@ -12,6 +17,7 @@
 
 	"forkhead"
 	"forkhead/internal/explore"
+	"forkhead/internal/lives"
 )
 
 var effects = map[string]forkhead.Effect{"safe": forkhead.Safe, "keyed": forkhead.Keyed, "unsafe": forkhead.Unsafe}
@@ -35,8 +41,10 @@
 
 func (a *app) exploreCommand() *cobra.Command {
 	var cfg explore.Config
-	var effect, trace string
+	var effect, trace, replay string
 	var list bool
+	var lives int
+	var from uint64
 	c := &cobra.Command{
 		Use: "explore", Short: "search all states of attempts, connections and hosts, exhaustively", Args: cobra.NoArgs,
 		Long: "explore searches every order of events of a small service, over the machines that placers and hosts\n" +
@@ -45,6 +53,12 @@
 			if list {
 				return a.plants()
 			}
+			if replay != "" {
+				return a.replay(replay)
+			}
+			if lives > 0 {
+				return a.lives(cmd.Context(), from, lives)
+			}
 			names := []string{effect}
 			if effect == "all" {
 				names = []string{"safe", "keyed", "unsafe"}
@@ -92,6 +106,9 @@
 	f.StringVar(&cfg.Plant, "plant", "", "a bug to plant")
 	f.StringVar(&effect, "effect", "unsafe", "the tasks' class: safe, keyed, unsafe or all, one after another")
 	f.StringVar(&trace, "trace", "", "file to write a violation's trace to")
+	f.StringVar(&replay, "replay", "", "play the trace in such a file through the placer's real core")
+	f.IntVar(&lives, "lives", 0, "instead of the search, play so many random lives of the real core with the real module")
+	f.Uint64Var(&from, "from", 0, "seed of the first of them; with --lives 1 a life is played again")
 	f.BoolVar(&list, "list-plants", false, "list the bugs that can be planted")
 	return c
 }
@@ -113,6 +130,85 @@
 	return w.Flush()
 }
 
+// replay plays a trace through the real core.
+func (a *app) replay(name string) error {
+	text, err := file(name)
+	if err != nil {
+		return err
+	}
+	var t explore.Trace
+	if err := json.Unmarshal(text, &t); err != nil {
+		return badInput(fmt.Errorf("%s: not a trace: %w", name, err))
+	}
+	if t.Config.Tasks < 1 || t.Config.Tasks > 3 || t.Config.Hosts < 1 || t.Config.Hosts > 2 || t.Config.Effect > forkhead.Unsafe {
+		return badInput(fmt.Errorf("%s: not a trace of 1 to 3 tasks and 1 or 2 hosts", name))
+	}
+	r, err := explore.Replay(&t)
+	if err != nil {
+		return err
+	}
+	if a.output == "json" {
+		if err := a.json(r); err != nil {
+			return err
+		}
+	} else {
+		for i, s := range r.Steps {
+			fmt.Fprintf(a.out, "%3d  %s\n", i+1, s.What)
+			for _, did := range s.Did {
+				fmt.Fprintf(a.out, "       %s\n", did)
+			}
+		}
+		fmt.Fprintf(a.out, "%d vetoes, %d offers written, %d starts, held twice: %v\n", r.Vetoes, r.Offers, r.Starts, r.Twice)
+		if r.Parted != "" {
+			fmt.Fprintf(a.out, "the core parts from the trace at %s\n", r.Parted)
+		}
+	}
+	if r.Twice && t.Config.Effect == forkhead.Unsafe {
+		return errNo
+	}
+	return nil
+}
+
+// lives plays random lives on all processors.
+func (a *app) lives(ctx context.Context, from uint64, n int) error {
+	var next, done atomic.Int64
+	var mu sync.Mutex
+	var failed []string
+	var wait sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := next.Add(1) - 1; i < int64(n) && ctx.Err() == nil; i = next.Add(1) - 1 {
+				if err := lives.Check(from + uint64(i)); err != nil {
+					mu.Lock()
+					failed = append(failed, err.Error())
+					mu.Unlock()
+				}
+				if d := done.Add(1); d%1000 == 0 {
+					fmt.Fprintf(a.errs, "%d lives\n", d)
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	slices.Sort(failed)
+	if a.output == "json" {
+		if err := a.json(map[string]any{"lives": done.Load(), "from": from, "failed": append([]string{}, failed...)}); err != nil {
+			return err
+		}
+	} else {
+		for _, f := range failed {
+			fmt.Fprintln(a.out, f)
+		}
+		fmt.Fprintf(a.out, "%d lives, %d went wrong\n", done.Load(), len(failed))
+	}
+	if len(failed) > 0 {
+		return errNo
+	}
+	return ctx.Err()
+}
+
 // search runs one search and tells of it; it returns whether a property was broken.
 func (a *app) search(cfg explore.Config, effect, trace string) (bool, error) {
 	cfg.Effect = effects[effect]
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -110,3 +110,46 @@
 	}
 	b.ReportMetric(float64(states)/b.Elapsed().Seconds(), "states/s")
 }
+
+// The traces of planted bugs, played through the placer's real core, in which nothing is planted:
+// the step that broke a property is vetoed, or leads to nothing that should not be.
+func TestReplay(t *testing.T) {
+	for _, p := range Plants {
+		cfg := small(p.Effect)
+		cfg.Plant = p.Name
+		if cfg.Faults = p.Faults; p.Faults > 1 {
+			cfg.Hosts = 1
+		}
+		r, err := Run(cfg)
+		if err != nil || len(r.Violations) == 0 {
+			t.Fatalf("%s: %v, %v", p.Name, r, err)
+		}
+		out, err := Replay(&Trace{Config: cfg, Violation: r.Violations[0]})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if out.Twice && p.Effect == forkhead.Unsafe {
+			t.Errorf("%s: the real core lets an unsafe task be held twice: %+v", p.Name, out)
+		}
+		t.Logf("%s: %d vetoes, %d offers, %d starts, parted %q", p.Name, out.Vetoes, out.Offers, out.Starts, out.Parted)
+		if p.Name == "double-send" && out.Vetoes != 1 {
+			t.Errorf("%d vetoes of an offer beside one that is out", out.Vetoes)
+		}
+	}
+}
+
+// A run without a bug, played through the core, ends as the search says: placed, once.
+func TestReplayGood(t *testing.T) {
+	cfg := Config{Tasks: 1, Hosts: 2, Effect: forkhead.Unsafe, Asks: 2, Attempts: 2, Faults: 1}
+	out, err := Replay(&Trace{Config: cfg, Violation: Violation{Trace: []string{
+		"task 0 is asked for", "module offers task 0 to host 0", "host 0 reads Offer", "host 0 accepts task 0",
+		"the connection to host 0 is cut", "placer sees the connection to host 0 end", "task 0 runs on host 0",
+		"host 0 sees its connection end", "placer connects to host 0", "host 0 reads Hello", "placer reads Welcome of host 0",
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if out.Parted != "" || out.Vetoes != 0 || out.Offers != 1 || out.Starts != 1 || out.Twice {
+		t.Fatalf("%+v", out)
+	}
+}
