--- a/internal/hostlink/hostlink_test.go
+++ b/internal/hostlink/hostlink_test.go
@@ -1,6 +1,8 @@
 package hostlink
 
 import (
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,3 +120,14 @@
 		}
 	})
 }
+
+// The page holds the table as the code has it.
+func TestTableOnPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/design/attempts.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Table()) {
+		t.Fatalf("docs/design/attempts.md does not hold this table:\n%s", Table())
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -544,8 +544,9 @@
 
 func (h *Host) refuse(t *task, why hostproto.Reason) {
 	f := hostproto.Refused{Ref: t.ref, Reason: why, Report: h.report()}
+	_, say := hostside.Next(hostside.InLine, hostside.Decline)
 	h.remember(t, f)
-	h.say(t.placer, f)
+	h.reply(t.placer, t.ref, say, f)
 }
 
 // remember notes how an attempt ended, for a placer that asks later.
@@ -569,14 +570,14 @@
 	if len(h.line) > 0 {
 		h.lookEnd = h.now + h.lookTime()
 	}
-	why := h.judge(t)
-	if why != hostproto.NoReason {
+	if why := h.judge(t); why != hostproto.NoReason {
 		h.refuse(t, why)
 		return
 	}
+	_, say := hostside.Next(h.state(t.ref), hostside.Accept)
 	t.phase = hostproto.Starting
 	h.starts = append(h.starts, t)
-	h.say(t.placer, hostproto.Accepted{Ref: t.ref})
+	h.reply(t.placer, t.ref, say, nil)
 	h.begin()
 }
 
@@ -688,6 +689,7 @@
 }
 
 func (h *Host) runs(t *task) {
+	_, say := hostside.Next(h.state(t.ref), hostside.Start)
 	h.starts = slices.DeleteFunc(h.starts, func(o *task) bool { return o == t })
 	t.phase = hostproto.Runs
 	if t.spec.Life > 0 {
@@ -699,7 +701,7 @@
 	if h.dies(AfterBind) {
 		return
 	}
-	h.say(t.placer, hostproto.Running{Ref: t.ref})
+	h.reply(t.placer, t.ref, say, nil)
 	h.begin()
 }
 
@@ -707,6 +709,7 @@
 func (h *Host) end(t *task, how hostproto.Result) {
 	h.starts = slices.DeleteFunc(h.starts, func(o *task) bool { return o == t })
 	f := hostproto.Ended{Ref: t.ref, Result: how}
+	_, say := hostside.Next(h.state(t.ref), hostside.Finish)
 	h.remember(t, f)
 	if !h.present(t.spec.Service) && h.cfg.Keep > 0 {
 		h.kept = append(h.kept, t.spec.Service)
@@ -715,7 +718,7 @@
 		}
 	}
 	f.Report = h.report()
-	h.say(t.placer, f)
+	h.reply(t.placer, t.ref, say, f)
 	h.begin()
 }
 
