--- /dev/null
+++ b/internal/solve/solve.go
@@ -0,0 +1,610 @@
+// Package solve finds placements of least cost under capacity and spread limits, or proves that
+// there are none. It is exact: amounts are whole numbers, no float decides. It is pure and
+// deterministic; a caller may stop it at any time and gets the best answer so far with a bound.
+//
+// The method is branch and bound over counts: how many tasks of each service are on each host.
+// Tasks of a service are alike, so only the hosts of one follow another in order; hosts that are
+// alike and hold alike are tried once. Bounds come from covers: the cheapest share of hosts that
+// holds what is left, by cores, by memory and by both weighed.
+package solve
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Host is a host of an instance. Amounts are in thousandths of a core and in MiB.
+type Host struct {
+	ID     string
+	Zone   string
+	Rack   string
+	Cores  int64
+	Memory int64
+	Cost   int64 // of using it at all
+	Closed bool  // takes nothing new: it drains, or is gone
+	Used   bool  // it is in use by what is not part of the instance
+}
+
+// Service is some tasks that are alike.
+type Service struct {
+	Name    string
+	Count   int
+	Cores   int64 // of each task
+	Memory  int64
+	May     []bool // by host; nil: any
+	Machine int    // most on one host; 0: no limit
+	Rack    int    // most in one rack
+	Zone    int    // most in one zone
+	Runs    []int  // tasks of it that run on each host now; nil: none
+	Why     string // what May comes from, for a conflict
+	Where   string // FILE:LINE:COL
+}
+
+// Instance is a question.
+type Instance struct {
+	Hosts    []Host
+	Services []Service
+	Move     int64 // cost of each task that is not where one of its service runs
+}
+
+// Answer is what was found.
+type Answer struct {
+	Feasible bool
+	Optimal  bool // proven: Cost is Bound; or proven that there is none
+	Cost     int64
+	Bound    int64
+	Counts   [][]int // by service, by host
+	Nodes    int
+}
+
+// Validate refuses an instance that cannot be read.
+func (in *Instance) Validate() error {
+	for i, h := range in.Hosts {
+		if h.Cores < 0 || h.Memory < 0 || h.Cost < 0 || h.Cores > 1<<40 || h.Memory > 1<<40 || h.Cost > 1<<40 {
+			return fmt.Errorf("host %d, %s: amounts are 0 to 2^40", i, h.ID)
+		}
+	}
+	for i, s := range in.Services {
+		switch {
+		case s.Count < 0 || s.Cores < 0 || s.Memory < 0 || s.Machine < 0 || s.Rack < 0 || s.Zone < 0:
+			return fmt.Errorf("service %d, %s: amounts are not below 0", i, s.Name)
+		case s.Cores > 1<<40 || s.Memory > 1<<40 || s.Count > 1<<20:
+			return fmt.Errorf("service %d, %s: amounts are too large", i, s.Name)
+		case s.May != nil && len(s.May) != len(in.Hosts), s.Runs != nil && len(s.Runs) != len(in.Hosts):
+			return fmt.Errorf("service %d, %s: lists by host have another length than the hosts", i, s.Name)
+		}
+	}
+	return nil
+}
+
+// Check holds an answer against its instance: a certificate of a few lines, with none of the
+// solver's code.
+func Check(in *Instance, counts [][]int, cost int64) error {
+	total := int64(0)
+	used := make([]bool, len(in.Hosts))
+	cores, memory := make([]int64, len(in.Hosts)), make([]int64, len(in.Hosts))
+	if len(counts) != len(in.Services) {
+		return fmt.Errorf("%d rows for %d services", len(counts), len(in.Services))
+	}
+	for si, s := range in.Services {
+		n := 0
+		racks, zones := map[string]int{}, map[string]int{}
+		for hi, k := range counts[si] {
+			h := in.Hosts[hi]
+			switch {
+			case k < 0:
+				return fmt.Errorf("%s: %d tasks on %s", s.Name, k, h.ID)
+			case k == 0:
+				continue
+			case h.Closed:
+				return fmt.Errorf("%s on %s, which takes nothing new", s.Name, h.ID)
+			case s.May != nil && !s.May[hi]:
+				return fmt.Errorf("%s on %s, which it may not use", s.Name, h.ID)
+			case s.Machine > 0 && k > s.Machine:
+				return fmt.Errorf("%s: %d on %s, at most %d", s.Name, k, h.ID, s.Machine)
+			}
+			n += k
+			racks[h.Rack] += k
+			zones[h.Zone] += k
+			cores[hi] += int64(k) * s.Cores
+			memory[hi] += int64(k) * s.Memory
+			used[hi] = true
+			if s.Runs != nil {
+				total += in.Move * int64(max(k-s.Runs[hi], 0))
+			}
+		}
+		if n != s.Count {
+			return fmt.Errorf("%s: %d of %d tasks", s.Name, n, s.Count)
+		}
+		for rack, k := range racks {
+			if s.Rack > 0 && k > s.Rack {
+				return fmt.Errorf("%s: %d in rack %s, at most %d", s.Name, k, rack, s.Rack)
+			}
+		}
+		for zone, k := range zones {
+			if s.Zone > 0 && k > s.Zone {
+				return fmt.Errorf("%s: %d in zone %s, at most %d", s.Name, k, zone, s.Zone)
+			}
+		}
+	}
+	for hi, h := range in.Hosts {
+		if cores[hi] > h.Cores || memory[hi] > h.Memory {
+			return fmt.Errorf("%s holds %d of %d thousandths of a core and %d of %d MiB", h.ID, cores[hi], h.Cores, memory[hi], h.Memory)
+		}
+		if used[hi] && !h.Used {
+			total += h.Cost
+		}
+	}
+	if total != cost {
+		return fmt.Errorf("the cost is %d, not %d", total, cost)
+	}
+	return nil
+}
+
+// Options bound a search.
+type Options struct {
+	Nodes int         // 0: 50 million
+	Stop  func() bool // asked now and then; true: answer with what there is
+	// Flaw plants a bug, to show that the comparison with brute force finds it: "bound" or "propagation".
+	Flaw string
+}
+
+// Solve answers an instance. The error is for an instance that cannot be read.
+func Solve(in *Instance, opt Options) (*Answer, error) {
+	if err := in.Validate(); err != nil {
+		return nil, err
+	}
+	if opt.Nodes == 0 {
+		opt.Nodes = 50_000_000
+	}
+	s := newSearch(in, opt)
+	root := s.bound(0)
+	if s.possible(0) {
+		s.greedy()
+		s.descend(0, 0, 0)
+	}
+	a := &Answer{Nodes: s.nodes, Bound: root}
+	if s.best != nil {
+		a.Feasible, a.Cost, a.Counts = true, s.bestCost, s.inOrder(s.best)
+	}
+	switch {
+	case !s.stopped:
+		a.Optimal = true
+		a.Bound = a.Cost
+	case a.Feasible && a.Bound >= a.Cost:
+		a.Optimal, a.Bound = true, a.Cost
+	}
+	return a, nil
+}
+
+type search struct {
+	in       *Instance
+	opt      Options
+	order    []int // services, the hardest first
+	svc      []Service
+	rackOf   []int
+	zoneOf   []int
+	free     []int64 // cores
+	freeMem  []int64
+	held     []int // tasks of ours on each host
+	counts   [][]int
+	racks    [][]int // tasks of a service in each rack
+	zones    [][]int
+	alike    []int // the class of hosts that are alike
+	byCost   [3][]int
+	cost     int64
+	leftC    []int64 // demand of the services from one on
+	leftM    []int64
+	best     [][]int
+	bestCost int64
+	nodes    int
+	stopped  bool
+	places   bool // some service has a limit in racks or zones
+}
+
+func newSearch(in *Instance, opt Options) *search {
+	s := &search{in: in, opt: opt}
+	n := len(in.Hosts)
+	maxC, maxM := int64(1), int64(1)
+	for _, h := range in.Hosts {
+		maxC, maxM = max(maxC, h.Cores), max(maxM, h.Memory)
+	}
+	// Hard services first: few hosts, then large tasks.
+	allowed := func(v *Service) int {
+		k := 0
+		for hi := range in.Hosts {
+			if !in.Hosts[hi].Closed && (v.May == nil || v.May[hi]) {
+				k++
+			}
+		}
+		return k
+	}
+	size := func(v *Service) int64 { return max(v.Cores*1000/maxC, v.Memory*1000/maxM) }
+	for i := range in.Services {
+		s.order = append(s.order, i)
+	}
+	slices.SortStableFunc(s.order, func(a, b int) int {
+		x, y := &in.Services[a], &in.Services[b]
+		return cmp.Or(cmp.Compare(size(y), size(x)), cmp.Compare(allowed(x), allowed(y)))
+	})
+	racks, zones := map[string]int{}, map[string]int{}
+	intern := func(m map[string]int, name string) int {
+		if _, ok := m[name]; !ok {
+			m[name] = len(m)
+		}
+		return m[name]
+	}
+	for _, h := range in.Hosts {
+		s.rackOf, s.zoneOf = append(s.rackOf, intern(racks, h.Rack)), append(s.zoneOf, intern(zones, h.Zone))
+		s.free, s.freeMem = append(s.free, h.Cores), append(s.freeMem, h.Memory)
+	}
+	s.held = make([]int, n)
+	for _, i := range s.order {
+		v := in.Services[i]
+		s.places = s.places || v.Rack > 0 || v.Zone > 0
+		s.svc = append(s.svc, v)
+		s.counts = append(s.counts, make([]int, n))
+		s.racks, s.zones = append(s.racks, make([]int, len(racks))), append(s.zones, make([]int, len(zones)))
+	}
+	s.leftC, s.leftM = make([]int64, len(s.svc)+1), make([]int64, len(s.svc)+1)
+	for i := len(s.svc) - 1; i >= 0; i-- {
+		s.leftC[i] = s.leftC[i+1] + int64(s.svc[i].Count)*s.svc[i].Cores
+		s.leftM[i] = s.leftM[i+1] + int64(s.svc[i].Count)*s.svc[i].Memory
+	}
+	s.classes()
+	for hi := range in.Hosts {
+		for k := range s.byCost {
+			s.byCost[k] = append(s.byCost[k], hi)
+		}
+	}
+	// By cost for cores, for memory, and for both weighed: compared crosswise, in whole numbers.
+	gain := [3]func(h *Host) int64{
+		func(h *Host) int64 { return h.Cores },
+		func(h *Host) int64 { return h.Memory },
+		func(h *Host) int64 { return h.Cores*1000/maxC + h.Memory*1000/maxM },
+	}
+	for k := range s.byCost {
+		slices.SortStableFunc(s.byCost[k], func(a, b int) int {
+			x, y := &in.Hosts[a], &in.Hosts[b]
+			return cmp.Compare(ratio(x.Cost, gain[k](x)), ratio(y.Cost, gain[k](y)))
+		})
+	}
+	return s
+}
+
+// ratio orders hosts by cost for gain; it only guides, it decides nothing.
+func ratio(cost, gain int64) float64 {
+	if gain <= 0 {
+		return 1e300
+	}
+	return float64(cost) / float64(gain)
+}
+
+// classes finds hosts that differ in nothing that any service can tell.
+func (s *search) classes() {
+	seen := map[string]int{}
+	for hi, h := range s.in.Hosts {
+		key := fmt.Sprint(h.Cores, h.Memory, h.Cost, h.Closed, h.Used)
+		if s.places {
+			key += fmt.Sprintf(" %q %q", h.Rack, h.Zone)
+		}
+		for i := range s.svc {
+			v := &s.svc[i]
+			may, runs := v.May == nil || v.May[hi], 0
+			if v.Runs != nil {
+				runs = v.Runs[hi]
+			}
+			key += fmt.Sprint(" ", may, runs)
+		}
+		if _, ok := seen[key]; !ok {
+			seen[key] = len(seen)
+		}
+		s.alike = append(s.alike, seen[key])
+	}
+}
+
+func (s *search) inOrder(counts [][]int) [][]int {
+	out := make([][]int, len(counts))
+	for k, i := range s.order {
+		out[i] = counts[k]
+	}
+	return out
+}
+
+// room is how many more tasks of a service a host takes, by itself.
+func (s *search) room(k, hi int) int {
+	v, h := &s.svc[k], &s.in.Hosts[hi]
+	if h.Closed || v.May != nil && !v.May[hi] {
+		return 0
+	}
+	n := v.Count
+	if v.Cores > 0 {
+		n = min(n, int(min(s.free[hi]/v.Cores, int64(v.Count))))
+	}
+	if v.Memory > 0 {
+		n = min(n, int(min(s.freeMem[hi]/v.Memory, int64(v.Count))))
+	}
+	if v.Machine > 0 {
+		n = min(n, v.Machine-s.counts[k][hi])
+	}
+	if v.Rack > 0 {
+		n = min(n, v.Rack-s.racks[k][s.rackOf[hi]])
+	}
+	if v.Zone > 0 {
+		n = min(n, v.Zone-s.zones[k][s.zoneOf[hi]])
+	}
+	return max(n, 0)
+}
+
+func (s *search) put(k, hi, by int) {
+	v := &s.svc[k]
+	s.counts[k][hi] += by
+	s.racks[k][s.rackOf[hi]] += by
+	s.zones[k][s.zoneOf[hi]] += by
+	s.free[hi] -= int64(by) * v.Cores
+	s.freeMem[hi] -= int64(by) * v.Memory
+	before := s.held[hi]
+	s.held[hi] += by
+	if !s.in.Hosts[hi].Used {
+		if before == 0 && s.held[hi] > 0 {
+			s.cost += s.in.Hosts[hi].Cost
+		} else if before > 0 && s.held[hi] == 0 {
+			s.cost -= s.in.Hosts[hi].Cost
+		}
+	}
+	if v.Runs != nil {
+		now, was := s.counts[k][hi], s.counts[k][hi]-by
+		s.cost += s.in.Move * int64(max(now-v.Runs[hi], 0)-max(was-v.Runs[hi], 0))
+	}
+}
+
+// possible says whether the services from one on could still be placed, each by itself, and all
+// together by their sums. A no is a proof.
+func (s *search) possible(from int) bool { return s.fitsFrom(from, 0) }
+
+func (s *search) fitsFrom(from, placed int) bool {
+	var cores, memory int64
+	for hi, h := range s.in.Hosts {
+		if !h.Closed {
+			cores, memory = cores+s.free[hi], memory+s.freeMem[hi]
+		}
+	}
+	if from < len(s.svc) {
+		done := int64(placed)
+		if s.leftC[from]-done*s.svc[from].Cores > cores || s.leftM[from]-done*s.svc[from].Memory > memory {
+			return false
+		}
+	}
+	for k := from; k < len(s.svc); k++ {
+		need := s.svc[k].Count
+		if k == from {
+			need -= placed
+		}
+		if s.opt.Flaw == "propagation" && k > from {
+			need++
+		}
+		if !s.reach(k, need) {
+			return false
+		}
+	}
+	return true
+}
+
+// reach says whether the hosts take so many tasks of a service, its limits in racks and zones
+// counted once for all.
+func (s *search) reach(k, need int) bool {
+	if need <= 0 {
+		return true
+	}
+	v := &s.svc[k]
+	if v.Rack == 0 && v.Zone == 0 {
+		for hi := range s.in.Hosts {
+			if need -= s.room(k, hi); need <= 0 {
+				return true
+			}
+		}
+		return false
+	}
+	racks := make([]int, len(s.racks[k]))
+	zoneOfRack := make([]int, len(racks))
+	mixed := false // a rack name that stands in two zones: only the zones are summed then
+	seen := make([]bool, len(racks))
+	for hi := range s.in.Hosts {
+		r := s.rackOf[hi]
+		racks[r] += s.room(k, hi)
+		if seen[r] && zoneOfRack[r] != s.zoneOf[hi] {
+			mixed = true
+		}
+		seen[r], zoneOfRack[r] = true, s.zoneOf[hi]
+	}
+	zones := make([]int, len(s.zones[k]))
+	if mixed {
+		for hi := range s.in.Hosts {
+			zones[s.zoneOf[hi]] += s.room(k, hi)
+		}
+	} else {
+		for r, n := range racks {
+			if v.Rack > 0 {
+				n = min(n, v.Rack-s.racks[k][r])
+			}
+			if seen[r] {
+				zones[zoneOfRack[r]] += n
+			}
+		}
+	}
+	for z, n := range zones {
+		if v.Zone > 0 {
+			n = min(n, v.Zone-s.zones[k][z])
+		}
+		if need -= n; need <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// bound is a lower bound of the cost of any completion: what is spent, and the cheapest share of
+// unused hosts that covers what the used ones cannot hold. placed tasks of service from are there.
+func (s *search) bound(from int) int64 { return s.boundAt(from, 0) }
+
+func (s *search) boundAt(from, placed int) int64 {
+	if from >= len(s.svc) {
+		return s.cost
+	}
+	done := int64(placed)
+	needC, needM := s.leftC[from]-done*s.svc[from].Cores, s.leftM[from]-done*s.svc[from].Memory
+	for hi, h := range s.in.Hosts {
+		if !h.Closed && (s.held[hi] > 0 || h.Used) {
+			needC, needM = needC-s.free[hi], needM-s.freeMem[hi]
+		}
+	}
+	extra := max(s.cover(0, needC, func(h *Host) int64 { return h.Cores }), s.cover(1, needM, func(h *Host) int64 { return h.Memory }))
+	if s.opt.Flaw == "bound" {
+		extra += extra / 8
+	}
+	return s.cost + extra
+}
+
+// cover is the least cost of unused hosts, the last of them in part, that hold a need. It is
+// rounded up, which costs of whole numbers allow.
+func (s *search) cover(k int, need int64, gain func(*Host) int64) int64 {
+	if need <= 0 {
+		return 0
+	}
+	total := int64(0)
+	for _, hi := range s.byCost[k] {
+		h := &s.in.Hosts[hi]
+		if h.Closed || h.Used || s.held[hi] > 0 {
+			continue
+		}
+		g := gain(h)
+		if g <= 0 {
+			continue
+		}
+		if g >= need {
+			return total + (h.Cost*need+g-1)/g
+		}
+		total += h.Cost
+		need -= g
+	}
+	return total
+}
+
+// hostsFor lists hosts that take a task of the service, the promising first: in use and tightest,
+// then unused and cheap for what they hold. Of hosts that are alike and hold alike one is listed.
+func (s *search) hostsFor(k, from int, buf []int) []int {
+	out := buf[:0]
+	for hi := from; hi < len(s.in.Hosts); hi++ {
+		if s.room(k, hi) == 0 {
+			continue
+		}
+		twin := false
+		for _, o := range out {
+			if s.alike[o] == s.alike[hi] && s.free[o] == s.free[hi] && s.freeMem[o] == s.freeMem[hi] &&
+				s.counts[k][o] == s.counts[k][hi] && (s.held[o] > 0) == (s.held[hi] > 0) {
+				twin = true
+				break
+			}
+		}
+		if !twin {
+			out = append(out, hi)
+		}
+	}
+	return out
+}
+
+func (s *search) better(k, a, b int) int {
+	use := func(hi int) int {
+		if s.held[hi] > 0 || s.in.Hosts[hi].Used {
+			return 0
+		}
+		return 1
+	}
+	stay := func(hi int) int {
+		if v := &s.svc[k]; v.Runs != nil && s.counts[k][hi] < v.Runs[hi] {
+			return 0
+		}
+		return 1
+	}
+	x, y := &s.in.Hosts[a], &s.in.Hosts[b]
+	if c := cmp.Or(cmp.Compare(stay(a), stay(b)), cmp.Compare(use(a), use(b))); c != 0 {
+		return c
+	}
+	if use(a) == 1 {
+		return cmp.Or(cmp.Compare(ratio(x.Cost, x.Cores), ratio(y.Cost, y.Cores)), cmp.Compare(a, b))
+	}
+	left := func(hi int, h *Host) float64 {
+		return float64(s.free[hi])/float64(max(h.Cores, 1)) + float64(s.freeMem[hi])/float64(max(h.Memory, 1))
+	}
+	return cmp.Or(cmp.Compare(left(a, x), left(b, y)), cmp.Compare(a, b))
+}
+
+// greedy finds a first answer, task by task.
+func (s *search) greedy() {
+	type move struct{ k, hi int }
+	var made []move
+	defer func() {
+		for _, m := range made {
+			s.put(m.k, m.hi, -1)
+		}
+	}()
+	for k := range s.svc {
+		for range s.svc[k].Count {
+			best := -1
+			for hi := range s.in.Hosts {
+				if s.room(k, hi) > 0 && (best < 0 || s.better(k, hi, best) < 0) {
+					best = hi
+				}
+			}
+			if best < 0 {
+				return
+			}
+			s.put(k, best, 1)
+			made = append(made, move{k, best})
+		}
+	}
+	s.keep()
+}
+
+func (s *search) keep() {
+	if s.best != nil && s.cost >= s.bestCost {
+		return
+	}
+	s.best = make([][]int, len(s.counts))
+	for k := range s.counts {
+		s.best[k] = slices.Clone(s.counts[k])
+	}
+	s.bestCost = s.cost
+}
+
+// descend places the next task of service k, of which placed are there, on a host not before
+// from: tasks of a service are alike, so an order among them would only repeat answers.
+func (s *search) descend(k, placed, from int) {
+	for k < len(s.svc) && placed == s.svc[k].Count {
+		k, placed, from = k+1, 0, 0
+	}
+	if k == len(s.svc) {
+		s.keep()
+		return
+	}
+	if s.nodes++; s.nodes >= s.opt.Nodes || s.nodes%1024 == 0 && s.opt.Stop != nil && s.opt.Stop() {
+		s.stopped = true
+		return
+	}
+	if s.best != nil && s.boundAt(k, placed) >= s.bestCost || !s.fitsFrom(k, placed) {
+		return
+	}
+	var buf [64]int
+	hosts := s.hostsFor(k, from, buf[:])
+	order := slices.Clone(hosts)
+	slices.SortStableFunc(order, func(a, b int) int { return s.better(k, a, b) })
+	for _, hi := range order {
+		s.put(k, hi, 1)
+		s.descend(k, placed+1, hi)
+		s.put(k, hi, -1)
+		if s.stopped {
+			return
+		}
+	}
+}
