--- a/internal/solve/solve.go
+++ b/internal/solve/solve.go
@@ -11,6 +11,8 @@
 import (
 	"cmp"
 	"fmt"
+	"math/bits"
+	"math/rand/v2"
 	"slices"
 )
 
@@ -158,11 +160,15 @@
 	if opt.Nodes == 0 {
 		opt.Nodes = 50_000_000
 	}
-	s := newSearch(in, opt)
+	own := *in
+	own.Hosts = slices.Clone(in.Hosts)
+	s := newSearch(&own, opt)
 	root := s.bound(0)
 	if s.possible(0) {
-		s.greedy()
-		s.descend(0, 0, 0)
+		s.first()
+		if !s.stopped && (s.best == nil || root < s.bestCost) {
+			s.descend(0, 0, 0)
+		}
 	}
 	a := &Answer{Nodes: s.nodes, Bound: root}
 	if s.best != nil {
@@ -192,10 +198,14 @@
 	racks    [][]int // tasks of a service in each rack
 	zones    [][]int
 	alike    []int // the class of hosts that are alike
-	byCost   [3][]int
+	groups   []group
+	scaleC   int64 // weights that make cores and memory alike in size
+	scaleM   int64
 	cost     int64
 	leftC    []int64 // demand of the services from one on
 	leftM    []int64
+	leastC   []int64 // the least that any task of those services asks for
+	leastM   []int64
 	best     [][]int
 	bestCost int64
 	nodes    int
@@ -248,37 +258,92 @@
 		s.racks, s.zones = append(s.racks, make([]int, len(racks))), append(s.zones, make([]int, len(zones)))
 	}
 	s.leftC, s.leftM = make([]int64, len(s.svc)+1), make([]int64, len(s.svc)+1)
+	s.leastC, s.leastM = make([]int64, len(s.svc)+1), make([]int64, len(s.svc)+1)
+	s.leastC[len(s.svc)], s.leastM[len(s.svc)] = 1<<62, 1<<62
 	for i := len(s.svc) - 1; i >= 0; i-- {
+		s.leastC[i], s.leastM[i] = s.leastC[i+1], s.leastM[i+1]
+		if s.svc[i].Count > 0 {
+			s.leastC[i], s.leastM[i] = min(s.leastC[i], s.svc[i].Cores), min(s.leastM[i], s.svc[i].Memory)
+		}
 		s.leftC[i] = s.leftC[i+1] + int64(s.svc[i].Count)*s.svc[i].Cores
 		s.leftM[i] = s.leftM[i+1] + int64(s.svc[i].Count)*s.svc[i].Memory
 	}
 	s.classes()
-	for hi := range in.Hosts {
-		for k := range s.byCost {
-			s.byCost[k] = append(s.byCost[k], hi)
+	s.scaleC, s.scaleM = max(1<<20/maxC, 1), max(1<<20/maxM, 1)
+	s.grouped()
+	return s
+}
+
+// cheaper compares cost for gain of two hosts exactly: the bound rests on this order.
+func cheaper(costX, gainX, costY, gainY int64) int {
+	xh, xl := bits.Mul64(uint64(costX), uint64(gainY))
+	yh, yl := bits.Mul64(uint64(costY), uint64(gainX))
+	return cmp.Or(cmp.Compare(xh, yh), cmp.Compare(xl, yl))
+}
+
+// ratio orders hosts where nothing but the order of trying rests on it.
+func ratio(cost, gain int64) float64 {
+	if gain <= 0 {
+		return 1e300
+	}
+	return float64(cost) / float64(gain)
+}
+
+// grouped makes the groups: all hosts, and each set that some service is kept to.
+func (s *search) grouped() {
+	all := make([]bool, len(s.in.Hosts))
+	for i := range all {
+		all[i] = true
+	}
+	sets := [][]bool{all}
+	for k := range s.svc {
+		may := s.svc[k].May
+		if may != nil && !slices.ContainsFunc(sets, func(o []bool) bool { return slices.Equal(o, may) }) && len(sets) < 16 {
+			sets = append(sets, may)
 		}
 	}
-	// By cost for cores, for memory, and for both weighed: compared crosswise, in whole numbers.
 	gain := [3]func(h *Host) int64{
 		func(h *Host) int64 { return h.Cores },
 		func(h *Host) int64 { return h.Memory },
-		func(h *Host) int64 { return h.Cores*1000/maxC + h.Memory*1000/maxM },
-	}
-	for k := range s.byCost {
-		slices.SortStableFunc(s.byCost[k], func(a, b int) int {
-			x, y := &in.Hosts[a], &in.Hosts[b]
-			return cmp.Compare(ratio(x.Cost, gain[k](x)), ratio(y.Cost, gain[k](y)))
-		})
+		func(h *Host) int64 { return h.Cores*s.scaleC + h.Memory*s.scaleM },
+	}
+	for _, set := range sets {
+		g := group{in: set}
+		for k := range s.svc {
+			member := true
+			for hi := range set {
+				if !set[hi] && (s.svc[k].May == nil || s.svc[k].May[hi]) {
+					member = false
+					break
+				}
+			}
+			g.member = append(g.member, member)
+		}
+		for i := range g.byCost {
+			for hi := range set {
+				if set[hi] {
+					g.byCost[i] = append(g.byCost[i], hi)
+				}
+			}
+			slices.SortStableFunc(g.byCost[i], func(a, b int) int {
+				x, y := &s.in.Hosts[a], &s.in.Hosts[b]
+				return cheaper(x.Cost, gain[i](x), y.Cost, gain[i](y))
+			})
+		}
+		for hi := range set {
+			if set[hi] {
+				g.step = gcd(g.step, s.in.Hosts[hi].Cost)
+			}
+		}
+		s.groups = append(s.groups, g)
 	}
-	return s
 }
 
-// ratio orders hosts by cost for gain; it only guides, it decides nothing.
-func ratio(cost, gain int64) float64 {
-	if gain <= 0 {
-		return 1e300
+func gcd(a, b int64) int64 {
+	for b != 0 {
+		a, b = b, a%b
 	}
-	return float64(cost) / float64(gain)
+	return a
 }
 
 // classes finds hosts that differ in nothing that any service can tell.
@@ -366,7 +431,9 @@
 func (s *search) fitsFrom(from, placed int) bool {
 	var cores, memory int64
 	for hi, h := range s.in.Hosts {
-		if !h.Closed {
+		// Room that not even the smallest task of what is left fits into is waste: this decides
+		// instances that are exactly at capacity.
+		if !h.Closed && s.free[hi] >= s.leastC[from] && s.freeMem[hi] >= s.leastM[from] {
 			cores, memory = cores+s.free[hi], memory+s.freeMem[hi]
 		}
 	}
@@ -452,41 +519,81 @@
 	if from >= len(s.svc) {
 		return s.cost
 	}
-	done := int64(placed)
-	needC, needM := s.leftC[from]-done*s.svc[from].Cores, s.leftM[from]-done*s.svc[from].Memory
+	extra := int64(0)
+	for g := range s.groups {
+		extra = max(extra, s.need(&s.groups[g], from, placed))
+	}
+	if s.opt.Flaw == "bound" {
+		if extra > 0 {
+			extra++
+		}
+	}
+	return s.cost + extra
+}
+
+// group is a set of hosts and the services that may use no others: what they ask for has to be
+// covered by those hosts alone. The first group is all hosts.
+type group struct {
+	in     []bool // hosts
+	member []bool // services, by place in the order
+	byCost [3][]int
+	step   int64 // all costs of its hosts are multiples of it
+}
+
+// need is the cheapest cover of what a group's services still ask for, by hosts not in use.
+func (s *search) need(g *group, from, placed int) int64 {
+	var needC, needM int64
+	for k := from; k < len(s.svc); k++ {
+		if !g.member[k] {
+			continue
+		}
+		n := int64(s.svc[k].Count)
+		if k == from {
+			n -= int64(placed)
+		}
+		needC, needM = needC+n*s.svc[k].Cores, needM+n*s.svc[k].Memory
+	}
 	for hi, h := range s.in.Hosts {
-		if !h.Closed && (s.held[hi] > 0 || h.Used) {
+		if g.in[hi] && !h.Closed && (s.held[hi] > 0 || h.Used) {
 			needC, needM = needC-s.free[hi], needM-s.freeMem[hi]
 		}
 	}
-	extra := max(s.cover(0, needC, func(h *Host) int64 { return h.Cores }), s.cover(1, needM, func(h *Host) int64 { return h.Memory }))
-	if s.opt.Flaw == "bound" {
-		extra += extra / 8
+	needC, needM = max(needC, 0), max(needM, 0)
+	extra := max(s.cover(g, 0, needC, func(h *Host) int64 { return h.Cores }), s.cover(g, 1, needM, func(h *Host) int64 { return h.Memory }))
+	if needC > 0 && needM > 0 {
+		// Both at once: whoever holds both needs holds their sum, in any weights.
+		extra = max(extra, s.cover(g, 2, needC*s.scaleC+needM*s.scaleM, func(h *Host) int64 { return h.Cores*s.scaleC + h.Memory*s.scaleM }))
 	}
-	return s.cost + extra
+	if g.step > 1 {
+		extra = (extra + g.step - 1) / g.step * g.step
+	}
+	return extra
 }
 
-// cover is the least cost of unused hosts, the last of them in part, that hold a need. It is
-// rounded up, which costs of whole numbers allow.
-func (s *search) cover(k int, need int64, gain func(*Host) int64) int64 {
+// cover is the least cost of unused hosts of a group, the last of them in part, that hold a need.
+// It is rounded up, which costs of whole numbers allow.
+func (s *search) cover(g *group, k int, need int64, gain func(*Host) int64) int64 {
 	if need <= 0 {
 		return 0
 	}
 	total := int64(0)
-	for _, hi := range s.byCost[k] {
+	for _, hi := range g.byCost[k] {
 		h := &s.in.Hosts[hi]
 		if h.Closed || h.Used || s.held[hi] > 0 {
 			continue
 		}
-		g := gain(h)
-		if g <= 0 {
+		v := gain(h)
+		if v <= 0 {
 			continue
 		}
-		if g >= need {
-			return total + (h.Cost*need+g-1)/g
+		if v >= need {
+			if h.Cost > 0 && need > (1<<62)/h.Cost {
+				return total // the product would not fit: a weaker bound is a bound
+			}
+			return total + (h.Cost*need+v-1)/v
 		}
 		total += h.Cost
-		need -= g
+		need -= v
 	}
 	return total
 }
@@ -540,17 +647,38 @@
 	return cmp.Or(cmp.Compare(left(a, x), left(b, y)), cmp.Compare(a, b))
 }
 
-// greedy finds a first answer, task by task.
-func (s *search) greedy() {
-	type move struct{ k, hi int }
-	var made []move
-	defer func() {
-		for _, m := range made {
-			s.put(m.k, m.hi, -1)
+// starts is how many orders of services a first answer is sought in.
+const starts = 60
+
+// first finds answers to begin with: greedily, in the order of the search and in orders that
+// chance has changed a little, each improved by closing hosts.
+func (s *search) first() {
+	rng := rand.New(rand.NewPCG(1, uint64(len(s.svc))))
+	keys := make([]float64, len(s.svc))
+	order := make([]int, len(s.svc))
+	for round := range starts {
+		for k := range order {
+			order[k], keys[k] = k, float64(k)
+			if round > 0 {
+				keys[k] += rng.NormFloat64() * float64(len(order)) / 8
+			}
 		}
-	}()
-	for k := range s.svc {
-		for range s.svc[k].Count {
+		slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(keys[a], keys[b]) })
+		if s.fill(order) {
+			s.close()
+		}
+		s.clear()
+		if s.opt.Stop != nil && s.opt.Stop() {
+			s.stopped = true
+			return
+		}
+	}
+}
+
+// fill places all tasks that are not placed, service by service, each on the host that better says.
+func (s *search) fill(order []int) bool {
+	for _, k := range order {
+		for s.total(k) < s.svc[k].Count {
 			best := -1
 			for hi := range s.in.Hosts {
 				if s.room(k, hi) > 0 && (best < 0 || s.better(k, hi, best) < 0) {
@@ -558,13 +686,71 @@
 				}
 			}
 			if best < 0 {
-				return
+				return false
 			}
 			s.put(k, best, 1)
-			made = append(made, move{k, best})
 		}
 	}
 	s.keep()
+	return true
+}
+
+func (s *search) total(k int) (n int) {
+	for _, c := range s.counts[k] {
+		n += c
+	}
+	return n
+}
+
+func (s *search) clear() {
+	for k := range s.counts {
+		for hi, n := range s.counts[k] {
+			if n > 0 {
+				s.put(k, hi, -n)
+			}
+		}
+	}
+}
+
+// close tries to empty hosts, the dearest for what they hold first: their tasks go to others that
+// are in use, or to a cheaper one.
+func (s *search) close() {
+	order := make([]int, len(s.svc))
+	for k := range order {
+		order[k] = k
+	}
+	for again := true; again; {
+		again = false
+		for hi := range s.in.Hosts {
+			h := &s.in.Hosts[hi]
+			if s.held[hi] == 0 || h.Used || h.Cost == 0 {
+				continue
+			}
+			before := s.cost
+			saved := make([][]int, len(s.counts))
+			for k := range s.counts {
+				saved[k] = slices.Clone(s.counts[k])
+				if n := s.counts[k][hi]; n > 0 {
+					s.put(k, hi, -n)
+				}
+			}
+			h.Closed = true
+			good := s.fill(order) && s.cost < before
+			h.Closed = false
+			if good {
+				again = true
+				continue
+			}
+			s.clear()
+			for k := range saved {
+				for i, n := range saved[k] {
+					if n > 0 {
+						s.put(k, i, n)
+					}
+				}
+			}
+		}
+	}
 }
 
 func (s *search) keep() {
