--- /dev/null
+++ b/internal/cli/plan.go
@@ -0,0 +1,132 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"forkhead/internal/description"
+	"forkhead/internal/plan"
+	"forkhead/internal/solve"
+	"forkhead/internal/solvecheck"
+)
+
+func (a *app) planCommand() *cobra.Command {
+	var pf projectFlags
+	var hosts, running, config string
+	var limit time.Duration
+	var move int64
+	var selfcheck int
+	c := &cobra.Command{
+		Use: "plan --hosts HOSTS FILE...", Short: "work out placements ahead, or what conflicts where there are none", Args: cobra.ArbitraryArgs,
+		RunE: func(cmd *cobra.Command, names []string) error {
+			if selfcheck > 0 {
+				return a.selfcheck(selfcheck)
+			}
+			if hosts == "" || len(names) == 0 {
+				return badInput(fmt.Errorf("plan wants --hosts HOSTS and at least one FILE, or --selfcheck N"))
+			}
+			s, err := readSettings(config)
+			if err != nil {
+				return err
+			}
+			q := &plan.Question{Settings: s, Move: move}
+			text, err := file(hosts)
+			if err != nil {
+				return err
+			}
+			if q.Hosts, err = plan.ReadHosts(hosts, text); err != nil {
+				return badInput(err)
+			}
+			if running != "" {
+				if text, err = file(running); err != nil {
+					return err
+				}
+				if q.Running, err = plan.ReadRunning(running, text); err != nil {
+					return badInput(err)
+				}
+			}
+			e, err := pf.envelope(names)
+			if err != nil {
+				return err
+			}
+			d, err := parse(e, s)
+			if err != nil {
+				return err
+			}
+			q.What = []*description.Description{d}
+			end := time.Now().Add(limit)
+			p, err := plan.Solve(q, solve.Options{Stop: func() bool { return time.Now().After(end) || cmd.Context().Err() != nil }})
+			if err != nil {
+				return badInput(err)
+			}
+			return a.tellPlan(p)
+		},
+	}
+	pf.add(c.Flags())
+	c.Flags().StringVar(&hosts, "hosts", "", `the fleet: {"hosts":[{"id","kind","zone","rack","cores","memory","cost","state"}]}`)
+	c.Flags().StringVar(&running, "running", "", `what runs: {"running":[{"service","replica","host"}]}; moves are then told and cost`)
+	c.Flags().StringVar(&config, "config", "", "settings whose classes and tenants descriptions may name (default: built-in ones)")
+	c.Flags().DurationVar(&limit, "limit", 10*time.Second, "answer after this with what there is")
+	c.Flags().Int64Var(&move, "move", 1, "cost of a move, in the hosts' unit")
+	c.Flags().IntVar(&selfcheck, "selfcheck", 0, "compare the solver with brute force on so many random instances")
+	return c
+}
+
+func (a *app) selfcheck(n int) error {
+	start := time.Now()
+	feasible, err := solvecheck.Compare(1, n, solve.Options{})
+	if a.output == "json" {
+		out := map[string]any{"instances": n, "feasible": feasible, "agree": err == nil}
+		if err != nil {
+			out["difference"] = err.Error()
+		}
+		if jerr := a.json(out); jerr != nil {
+			return jerr
+		}
+	} else if err == nil {
+		fmt.Fprintf(a.out, "%d instances, %d with an answer: solver and brute force agree on all; %.1f s\n", n, feasible, time.Since(start).Seconds())
+	} else {
+		fmt.Fprintln(a.out, err)
+	}
+	if err != nil {
+		return errNo
+	}
+	return nil
+}
+
+func (a *app) tellPlan(p *plan.Plan) error {
+	if a.output == "json" {
+		if err := a.json(p); err != nil {
+			return err
+		}
+	} else if p.Feasible {
+		w := tabwriter.NewWriter(a.out, 0, 4, 2, ' ', 0)
+		fmt.Fprintln(w, "SERVICE\tREPLICA\tHOST")
+		for _, as := range p.Assignments {
+			fmt.Fprintf(w, "%s\t%d\t%s\n", as.Service, as.Replica, as.Host)
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		for _, m := range p.Moves {
+			fmt.Fprintf(a.out, "move %s/%d from %s to %s\n", m.Service, m.Replica, m.From, m.To)
+		}
+		gap := 0.0
+		if p.Cost > 0 {
+			gap = float64(p.Cost-p.Bound) / float64(p.Cost) * 100
+		}
+		fmt.Fprintf(a.out, "%d hosts in use, cost %d, bound %d, gap %.2f%%, proven: %v\n", p.Hosts, p.Cost, p.Bound, gap, p.Optimal)
+	} else if p.Optimal {
+		fmt.Fprintf(a.out, "no placement exists. These cannot be met together, and could without any one of them:\n  %s\n", strings.Join(p.Conflict, "\n  "))
+	} else {
+		fmt.Fprintln(a.out, "undecided: no placement was found and none was ruled out within the limit")
+	}
+	if !p.Feasible {
+		return errNo
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,347 @@
+// Package plan works placements out ahead: it turns a fleet and descriptions into an instance for
+// the solver, and the solver's answer into assignments, moves, or a conflict in the descriptions'
+// own terms. It is pure.
+package plan
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"forkhead"
+	"forkhead/internal/description"
+	"forkhead/internal/settings"
+	"forkhead/internal/solve"
+	"forkhead/internal/source"
+)
+
+// Host is a host of a plan.
+type Host struct {
+	ID     string                           `json:"id"`
+	Kind   string                           `json:"kind"`
+	Zone   string                           `json:"zone"`
+	Rack   string                           `json:"rack"`
+	Cores  float64                          `json:"cores"`
+	Memory float64                          `json:"memory"` // GiB
+	Cost   int64                            `json:"cost"`
+	State  string                           `json:"state"` // ready (or ""), cold, draining, gone
+	Labels map[string]string                `json:"labels"`
+	Attrs  map[description.Attribute]string `json:"-"`
+}
+
+// Running is a task that runs.
+type Running struct {
+	Service string `json:"service"`
+	Replica int    `json:"replica"`
+	Host    string `json:"host"`
+}
+
+// Assignment is one task and its host.
+type Assignment struct {
+	Service string `json:"service"`
+	Replica int    `json:"replica"`
+	Host    string `json:"host"`
+}
+
+// Plan is what was worked out.
+type Plan struct {
+	Feasible    bool         `json:"feasible"`
+	Optimal     bool         `json:"optimal"`
+	Cost        int64        `json:"cost"`
+	Bound       int64        `json:"bound"`
+	Assignments []Assignment `json:"assignments"`
+	Moves       []Move       `json:"moves,omitempty"`
+	Conflict    []string     `json:"conflict"`
+	Hosts       int          `json:"hosts_in_use"`
+	Nodes       int          `json:"nodes"`
+}
+
+// Move is a running task that the plan has elsewhere.
+type Move struct {
+	Service string `json:"service"`
+	Replica int    `json:"replica"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+}
+
+// decode reads strict JSON; an error has its line and column.
+func decode(file string, data []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return source.Errorf(place(file, data, d.InputOffset()), "%v", strings.TrimPrefix(err.Error(), "json: "))
+	}
+	return nil
+}
+
+func place(file string, data []byte, offset int64) source.Pos {
+	before := data[:min(int(offset), len(data))]
+	return source.Pos{File: file, Line: 1 + bytes.Count(before, []byte("\n")), Col: len(before) - bytes.LastIndexByte(before, '\n')}
+}
+
+// ReadHosts reads {"hosts":[...]}.
+func ReadHosts(file string, data []byte) ([]Host, error) {
+	var in struct {
+		Hosts []Host `json:"hosts"`
+	}
+	if err := decode(file, data, &in); err != nil {
+		return nil, err
+	}
+	errs := &source.List{}
+	seen := map[string]bool{}
+	for i := range in.Hosts {
+		h := &in.Hosts[i]
+		pos := source.Pos{File: file}
+		switch {
+		case h.ID == "" || seen[h.ID]:
+			errs.Add(source.Wantf(pos, "an id of its own", "host %d has id %q", i, h.ID))
+		case !(h.Cores >= 0 && h.Cores <= 1e6) || !(h.Memory >= 0 && h.Memory <= 1e6):
+			errs.Add(source.Wantf(pos, "0 to 10^6", "host %s has %g cores and %g GiB", h.ID, h.Cores, h.Memory))
+		case h.Cost < 0 || h.Cost > 1<<40:
+			errs.Add(source.Wantf(pos, "0 to 2^40", "host %s has cost %d", h.ID, h.Cost))
+		case !slices.Contains([]string{"", "ready", "cold", "draining", "gone"}, h.State):
+			errs.Add(source.Wantf(pos, "ready, cold, draining or gone", "host %s has state %q", h.ID, h.State))
+		}
+		seen[h.ID] = true
+		h.Attrs = map[description.Attribute]string{
+			"id": h.ID, "hostname": h.ID, "role": "worker", "label.kind": h.Kind, "label.zone": h.Zone, "label.rack": h.Rack,
+		}
+		for k, v := range h.Labels {
+			h.Attrs[description.Attribute("label."+k)] = v
+		}
+	}
+	return in.Hosts, errs.Err()
+}
+
+// ReadRunning reads {"running":[...]}.
+func ReadRunning(file string, data []byte) ([]Running, error) {
+	var in struct {
+		Running []Running `json:"running"`
+	}
+	err := decode(file, data, &in)
+	return in.Running, err
+}
+
+// Question is a fleet, descriptions and what runs.
+type Question struct {
+	Settings *settings.Settings
+	Hosts    []Host
+	What     []*description.Description
+	Running  []Running
+	Move     int64 // cost of a move
+}
+
+// item is a service of the question.
+type item struct {
+	name  string
+	spec  *description.Service
+	class *forkhead.Class
+	kind  string
+	runs  map[int]int // replica to host, by place
+}
+
+// Instance makes the solver's question. Amounts of tasks are rounded up and of hosts down, to
+// thousandths of a core and MiB, so that what fits there fits.
+func (q *Question) instance() (*solve.Instance, []item, error) {
+	in := &solve.Instance{Move: q.Move}
+	at := map[string]int{}
+	m := &q.Settings.Module
+	for i, h := range q.Hosts {
+		at[h.ID] = i
+		in.Hosts = append(in.Hosts, solve.Host{
+			ID: h.ID, Zone: h.Zone, Rack: h.Rack, Cost: h.Cost, Closed: h.State == "draining" || h.State == "gone",
+			Cores: int64(math.Floor(h.Cores*m.AcceptCores*1000 + 1e-6)), Memory: int64(math.Floor(h.Memory*m.AcceptMemory*1024 + 1e-6)),
+		})
+	}
+	var items []item
+	for _, d := range q.What {
+		for si := range d.Services {
+			spec := &d.Services[si]
+			class := q.Settings.DefaultClass
+			if c, ok := q.Settings.Class(spec.Class); ok {
+				class = c
+			}
+			it := item{name: spec.Name, spec: spec, class: &m.Classes[class], runs: map[int]int{}}
+			s := solve.Service{
+				Name: spec.Name, Count: spec.Replicas, Where: spec.Pos.String(),
+				Cores: int64(math.Ceil(spec.Cores*1000 - 1e-6)), Memory: int64(math.Ceil(spec.Memory*1024 - 1e-6)),
+			}
+			if it.class.Kind >= 0 {
+				it.kind = q.Settings.Kinds[it.class.Kind]
+			}
+			fits := 0
+			may, all := make([]bool, len(q.Hosts)), true
+			for hi := range q.Hosts {
+				h := &q.Hosts[hi]
+				may[hi] = it.kind == "" || h.Kind == it.kind
+				for ci := range spec.Constraints {
+					c := &spec.Constraints[ci]
+					may[hi] = may[hi] && (h.Attrs[c.Attribute] == c.Value) != c.Not
+				}
+				all = all && may[hi]
+				if may[hi] && !in.Hosts[hi].Closed {
+					fits++
+				}
+			}
+			if !all {
+				s.May = may
+			}
+			if spec.Mode.Each() {
+				s.Count = fits
+			}
+			for _, l := range spec.Limits {
+				limit(&s, l.Place, l.Most)
+			}
+			if it.class.Spread != forkhead.Anywhere {
+				limit(&s, [...]string{"", "machine", "rack", "zone"}[it.class.Spread], it.class.Most)
+			}
+			if q.Running != nil {
+				s.Runs = make([]int, len(q.Hosts))
+			}
+			for _, r := range q.Running {
+				if r.Service != spec.Name {
+					continue
+				}
+				hi, ok := at[r.Host]
+				if !ok {
+					return nil, nil, fmt.Errorf("%s/%d runs on %q, which is not among the hosts", r.Service, r.Replica, r.Host)
+				}
+				if r.Replica >= 1 && r.Replica <= s.Count {
+					it.runs[r.Replica] = hi
+					s.Runs[hi]++
+				}
+			}
+			in.Services, items = append(in.Services, s), append(items, it)
+		}
+	}
+	return in, items, nil
+}
+
+func limit(s *solve.Service, place string, most int) {
+	to := map[string]*int{"machine": &s.Machine, "rack": &s.Rack, "zone": &s.Zone}[place]
+	if *to == 0 || most < *to {
+		*to = most
+	}
+}
+
+// Solve answers a question.
+func Solve(q *Question, opt solve.Options) (*Plan, error) {
+	in, items, err := q.instance()
+	if err != nil {
+		return nil, err
+	}
+	a, err := solve.Solve(in, opt)
+	if err != nil {
+		return nil, err
+	}
+	p := &Plan{Feasible: a.Feasible, Optimal: a.Optimal, Cost: a.Cost, Bound: a.Bound, Assignments: []Assignment{}, Conflict: []string{}, Nodes: a.Nodes}
+	if !a.Feasible {
+		p.Cost, p.Bound = 0, 0
+		if a.Optimal {
+			parts, _ := solve.Conflict(in, opt)
+			p.Conflict = q.words(in, items, parts)
+		}
+		return p, nil
+	}
+	// Nothing is told that the certificate does not bear out.
+	if err := solve.Check(in, a.Counts, a.Cost); err != nil {
+		return nil, fmt.Errorf("the solver's answer does not hold: %w", err)
+	}
+	used := map[int]bool{}
+	for si, it := range items {
+		p.assign(q, &it, a.Counts[si], used)
+	}
+	p.Hosts = len(used)
+	return p, nil
+}
+
+// assign gives the replicas of a service their hosts: those that run where the plan has one stay.
+func (p *Plan) assign(q *Question, it *item, counts []int, used map[int]bool) {
+	left := slices.Clone(counts)
+	n := 0
+	for hi, c := range counts {
+		n += c
+		if c > 0 {
+			used[hi] = true
+		}
+	}
+	where := make([]int, n+1)
+	for r := 1; r <= n; r++ {
+		where[r] = -1
+		if hi, ok := it.runs[r]; ok && left[hi] > 0 {
+			where[r] = hi
+			left[hi]--
+		}
+	}
+	next := 0
+	for r := 1; r <= n; r++ {
+		if where[r] < 0 {
+			for left[next] == 0 {
+				next++
+			}
+			where[r] = next
+			left[next]--
+			if from, ok := it.runs[r]; ok {
+				p.Moves = append(p.Moves, Move{it.name, r, q.Hosts[from].ID, q.Hosts[next].ID})
+			}
+		}
+		p.Assignments = append(p.Assignments, Assignment{it.name, r, q.Hosts[where[r]].ID})
+	}
+}
+
+// words tells a conflict in the descriptions' terms.
+func (q *Question) words(in *solve.Instance, items []item, parts []solve.Part) []string {
+	out := []string{}
+	var open, cores, memory int64
+	for _, h := range in.Hosts {
+		if !h.Closed {
+			open, cores, memory = open+1, cores+h.Cores, memory+h.Memory
+		}
+	}
+	for _, p := range parts {
+		if p.Service < 0 {
+			if p.What == "cores" {
+				out = append(out, fmt.Sprintf("the cores of the %d hosts that are open (%.4g in all)", open, float64(cores)/1000))
+			} else {
+				out = append(out, fmt.Sprintf("the memory of the %d hosts that are open (%.4g GiB in all)", open, float64(memory)/1024))
+			}
+			continue
+		}
+		s, it := &in.Services[p.Service], &items[p.Service]
+		pos := it.spec.Pos
+		switch p.What {
+		case "tasks":
+			out = append(out, fmt.Sprintf("%s: service %s asks for %d tasks of %.4g cores and %.4g GiB", pos, s.Name, s.Count, float64(s.Cores)/1000, float64(s.Memory)/1024))
+		case "machine":
+			out = append(out, fmt.Sprintf("%s: at most %d of %s on one host", q.limitPos(it, "machine"), s.Machine, s.Name))
+		case "rack":
+			out = append(out, fmt.Sprintf("%s: at most %d of %s in one rack", q.limitPos(it, "rack"), s.Rack, s.Name))
+		case "zone":
+			out = append(out, fmt.Sprintf("%s: at most %d of %s in one zone", q.limitPos(it, "zone"), s.Zone, s.Name))
+		case "may":
+			var why []string
+			if it.kind != "" {
+				why = append(why, "kind "+it.kind)
+			}
+			for _, c := range it.spec.Constraints {
+				why = append(why, c.String())
+				pos = c.Pos
+			}
+			out = append(out, fmt.Sprintf("%s: %s runs only on hosts with %s", pos, s.Name, strings.Join(why, ", ")))
+		}
+	}
+	return out
+}
+
+// limitPos is where a limit stands: in the description, or with its service where its class says it.
+func (q *Question) limitPos(it *item, place string) source.Pos {
+	for _, l := range it.spec.Limits {
+		if l.Place == place {
+			return l.Pos
+		}
+	}
+	return it.spec.Pos
+}
