--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -232,6 +232,9 @@
 		return err
 	}
 	switch {
+	case len(r.Conflict) > 0:
+		fmt.Fprintf(a.errs, "no placement exists. These cannot be met together, and could without any one of them:\n  %s\n", strings.Join(r.Conflict, "\n  "))
+		return errNo
 	case len(r.Errors) > 0 || r.Status == 400 || r.Status == 415 || r.Status == 422:
 		return badInput(err)
 	case r.Busy() || r.Status == 413:
--- a/internal/compose/compose_test.go
+++ b/internal/compose/compose_test.go
@@ -136,6 +136,8 @@
 		"all behind profiles":  {"services: {a: {profiles: [x]}}", "every service stands behind a profile"},
 		"env_file missing":     {"services: {a: {env_file: .env.x}}", ".env.x was not given"},
 		"payload":              {"services: {a: {command: '" + strings.Repeat("x", 40<<10) + "'}}", "at most 32 KiB"},
+		"whole of a service":   {"services: {a: {x-forkhead: {whole: true}}}", "whole is of all services together"},
+		"good, whole":          {"x-forkhead: {whole: true}\nservices: {a: {}}", ""},
 		"good":                 {"services: {a: {}}", ""},
 		"good, plain":          {"services: {a: {image: nginx, ports: ['80:80'], environment: [A=1]}}", ""},
 	} {
--- a/internal/compose/decode.go
+++ b/internal/compose/decode.go
@@ -104,6 +104,9 @@
 	d.top = tree
 	d.known(tree, topIndex, "", "the file")
 	d.own = d.extension(tree, "the file")
+	if w := d.own.get("whole"); w != nil {
+		d.out.Whole = d.boolean(w, "whole")
+	}
 	d.out.Name = d.in.Project
 	if n := d.of(tree.get("name"), scalar, "name"); n != nil && d.out.Name == "" {
 		if !projectName.MatchString(n.text) {
@@ -184,7 +187,11 @@
 	}
 	d.known(v, serviceIndex, "", "service "+strconv.Quote(name))
 	d.owned(&s, d.own)
-	d.owned(&s, d.extension(v, "service "+strconv.Quote(name)))
+	own := d.extension(v, "service "+strconv.Quote(name))
+	if w := own.get("whole"); w != nil {
+		d.want(w.pos, "it at the top level", "whole is of all services together")
+	}
+	d.owned(&s, own)
 	deploy := d.of(v.get("deploy"), mapping, "deploy")
 	d.resources(&s, v, deploy)
 	d.count(&s, v, deploy)
--- a/internal/description/description.go
+++ b/internal/description/description.go
@@ -17,6 +17,7 @@
 	Name     string    // of the project; "" if the source names none
 	Services []Service // by name
 	Notes    []Note    // what was read but acts on no placement here
+	Whole    bool      // all of its tasks are to be placed, or none
 }
 
 // Note says that an element is carried but not acted on.
--- a/internal/placerd/front.go
+++ b/internal/placerd/front.go
@@ -47,6 +47,8 @@
 	Status int     `json:"status"`
 	Detail string  `json:"detail,omitempty"`
 	Errors []Place `json:"errors,omitempty"`
+
+	Conflict []string `json:"conflict,omitempty"` // what cannot be met together
 }
 
 // Place is one error of a description, where it is.
@@ -287,11 +289,32 @@
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(r.Get("content-type") + "\n" + r.Query.Encode() + "\n"))
 	_, _ = h.Write(r.Body)
-	body := h.Sum64()
+	take := core.Submit{Key: key, Body: h.Sum64(), What: d}
+	if d.Whole {
+		select {
+		case s.judging <- struct{}{}:
+			go func() {
+				defer func() { <-s.judging }()
+				if conflict := s.judge(d); conflict != nil {
+					s.loop.Do(func() { s.reply(cl, r.Close, problem(nil, impossible(conflict), 0, r.Close)) })
+					return
+				}
+				s.take(cl, r.Close, take)
+			}()
+			return
+		default: // all judges are busy: the module will tell
+		}
+	}
+	s.take(cl, r.Close, take)
+}
+
+// take hands a submission to the core.
+func (s *Server) take(cl *client, closes bool, in core.Submit) {
 	s.loop.Wait(func() {
 		s.request++
-		s.await[s.request] = &exchange{cl: cl, closes: r.Close}
-		s.put(core.Submit{Request: s.request, Key: key, Body: body, What: d})
+		in.Request = s.request
+		s.await[s.request] = &exchange{cl: cl, closes: closes}
+		s.put(in)
 	})
 }
 
--- a/internal/placerd/front_test.go
+++ b/internal/placerd/front_test.go
@@ -285,6 +285,36 @@
 	}
 }
 
+// What is to be placed whole and cannot be is turned away with the conflict, and no task of it is
+// offered; what can be is placed, and without whole all goes as far as it goes.
+func TestWhole(t *testing.T) {
+	sc, addr := serve(t, "")
+	body := "x-forkhead: {whole: true, patience: 1s, wait: 500ms}\nservices: {a: {}, w: {x-forkhead: {spread: {rack: 1}}, deploy: {replicas: 3}}}"
+	req, _ := http.NewRequest("POST", "http://"+addr+"/v1/submissions", strings.NewReader(body))
+	req.Header.Set("Content-Type", "application/yaml")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var p placerd.Problem
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil || resp.StatusCode != 422 || p.Type != "urn:forkhead:impossible" {
+		t.Fatalf("%s: %+v, %v", resp.Status, p, err)
+	}
+	resp.Body.Close()
+	if len(p.Conflict) != 2 || !strings.Contains(p.Conflict[1], "compose.yaml:2:") || !strings.Contains(p.Conflict[1], "at most 1 of w in one rack") {
+		t.Fatalf("conflict: %q", p.Conflict)
+	}
+	if n := sc.Placer(0).Status().Asks; n != 0 {
+		t.Fatalf("%d asks", n)
+	}
+	if _, out := post(t, addr, "", "application/yaml", strings.Replace(body, "replicas: 3", "replicas: 2", 1)); len(out) != 3 || out[0].Outcome != core.WordPlaced {
+		t.Fatalf("%+v", out)
+	}
+	if _, out := post(t, addr, "", "application/yaml", strings.Replace(body, "whole: true", "whole: false", 1)); len(out) != 4 {
+		t.Fatalf("%+v", out)
+	}
+}
+
 func TestTooManyConnections(t *testing.T) {
 	_, addr := serve(t, "(limits (connections 2))")
 	for range 2 {
--- a/internal/placerd/placerd.go
+++ b/internal/placerd/placerd.go
@@ -19,6 +19,7 @@
 	"forkhead/internal/listwatch"
 	"forkhead/internal/loop"
 	"forkhead/internal/netio"
+	"forkhead/internal/plan"
 	"forkhead/internal/settings"
 )
 
@@ -62,6 +63,8 @@
 	follows map[string]map[*stream]bool // by submission
 	await   map[uint64]*exchange        // requests that the core has not answered
 	request uint64
+	fleet   atomic.Pointer[[]plan.Host] // of the last list, for judging what is submitted
+	judging chan struct{}               // bounds how many are judged at once
 
 	tell     net.PacketConn
 	peers    []net.Addr
@@ -90,7 +93,7 @@
 	}
 	s := &Server{
 		cfg: cfg, set: set, log: cfg.Log.With().Int("placer", self).Logger(), clock: cfg.Clock, engine: engine, core: c,
-		links: map[string]*hostConn{}, follows: map[string]map[*stream]bool{}, await: map[uint64]*exchange{},
+		judging: make(chan struct{}, mostJudged), links: map[string]*hostConn{}, follows: map[string]map[*stream]bool{}, await: map[uint64]*exchange{},
 	}
 	if err := s.listen(self); err != nil {
 		engine.Stop()
@@ -319,6 +322,7 @@
 					s.log.Warn().Strs("entries", skipped).Msg("the catalogue lists hosts that cannot be used")
 				}
 				s.put(core.Listing{Mode: forkhead.ListFull, Hosts: hosts})
+				s.remember(hosts)
 			}
 		})
 	}, func(err error) {
