--- a/internal/lives/sim.go
+++ b/internal/lives/sim.go
@@ -378,8 +378,8 @@
 	}
 }
 
-// Submit parses a Compose text and gives it to the core.
-func (s *Sim) Submit(key, text string) string {
+// Parse reads a Compose text as the front would.
+func (s *Sim) Parse(text string) *description.Description {
 	s.t.Helper()
 	var classes []string
 	for _, c := range s.Settings.Classes {
@@ -391,6 +391,13 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	return d
+}
+
+// Submit parses a Compose text and gives it to the core.
+func (s *Sim) Submit(key, text string) string {
+	s.t.Helper()
+	d := s.Parse(text)
 	n, r := len(s.Taken), len(s.Rejected)
 	s.Step(core.Submit{Request: 1, Key: key, Body: uint64(len(text)), What: d})
 	if len(s.Rejected) > r {
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,159 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"forkhead/internal/core"
+	"forkhead/internal/description"
+	"forkhead/internal/lives"
+	"forkhead/internal/settings"
+	"forkhead/internal/solve"
+	"forkhead/internal/standin"
+)
+
+func question(t testing.TB, hosts string) *Question {
+	t.Helper()
+	s, err := settings.Read("s", []byte(`(forkhead (kind k (cores 4) (memory 8GiB)) (kind big (cores 8) (memory 16GiB))
+	  (class c) (class b (kind big)) (class r (spread rack 2)))`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := ReadHosts("h.json", []byte(hosts))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Question{Settings: s, Hosts: h, Move: 1}
+}
+
+const fleet = `{"hosts":[{"id":"a","kind":"k","rack":"r","cores":4,"memory":8,"cost":4},{"id":"b","kind":"k","rack":"r","cores":4,"memory":8,"cost":4},
+  {"id":"c","kind":"big","rack":"s","cores":8,"memory":16,"cost":9,"labels":{"disk":"ssd"}},{"id":"d","kind":"big","rack":"s","cores":8,"memory":16,"cost":9,"state":"draining"}]}`
+
+func service(name, class string, n int, cores float64) description.Service {
+	return description.Service{Name: name, Class: class, Replicas: n, Cores: cores, Memory: 1}
+}
+
+func TestPlan(t *testing.T) {
+	q := question(t, fleet)
+	q.What = []*description.Description{{Services: []description.Service{service("x", "c", 4, 2), service("y", "b", 1, 1)}}}
+	p, err := Solve(q, solve.Options{})
+	if err != nil || !p.Feasible || p.Cost != 9+4 || p.Hosts != 2 || len(p.Assignments) != 5 {
+		t.Fatalf("%+v, %v", p, err)
+	}
+	// What runs where the plan would as well have it stays; what has to go is told as a move.
+	q.Running = []Running{{"x", 1, "a"}, {"x", 2, "b"}, {"y", 1, "d"}}
+	p, err = Solve(q, solve.Options{})
+	if err != nil || len(p.Moves) != 2 || p.Moves[1] != (Move{"y", 1, "d", "c"}) {
+		t.Fatalf("%+v, %v", p, err)
+	}
+}
+
+func TestConflictWords(t *testing.T) {
+	for name, c := range map[string]struct {
+		what []description.Service
+		want []string
+	}{
+		"too large":   {[]description.Service{service("x", "c", 1, 9)}, []string{"x asks for 1 tasks of 9 cores", "the cores of the 3 hosts"}},
+		"kind drains": {[]description.Service{service("x", "b", 3, 3)}, []string{"x asks for 3", "the cores of the 3 hosts", "x runs only on hosts with kind big"}},
+		"rack":        {[]description.Service{service("ok", "c", 1, 1), service("x", "r", 5, 1)}, []string{"x asks for 5", "at most 2 of x in one rack"}},
+		"no such label": {[]description.Service{{Name: "x", Replicas: 1, Cores: 1, Constraints: []description.Constraint{{Attribute: "label.disk", Value: "tape"}}}},
+			[]string{"x asks for 1", "x runs only on hosts with label.disk == tape"}},
+	} {
+		q := question(t, fleet)
+		q.What = []*description.Description{{Services: c.what}}
+		p, err := Solve(q, solve.Options{})
+		if err != nil || p.Feasible || !p.Optimal || len(p.Conflict) != len(c.want) {
+			t.Errorf("%s: %+v, %v", name, p, err)
+			continue
+		}
+		for i, want := range c.want {
+			if !strings.Contains(p.Conflict[i], want) && !strings.Contains(strings.Join(p.Conflict, "\n"), want) {
+				t.Errorf("%s: %q lacks %q", name, p.Conflict, want)
+			}
+		}
+	}
+}
+
+func TestBadHosts(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"hosts":[{"id":"a"},{"id":"a"}]}`:           "want an id of its own",
+		`{"hosts":[{"id":"a","cores":-1}]}`:           "want 0 to 10^6",
+		"{\"hosts\":[\n{\"id\":\"a\",\"cost\":1.5}]}": "h.json:2:",
+		`{"host":[]}`: "unknown field",
+		`{`:           "h.json:1:",
+	} {
+		if _, err := ReadHosts("h.json", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %s", text, err, want)
+		}
+	}
+}
+
+// distance places services on a fleet through the real core and module, and asks the solver for the
+// best that could be.
+func distance(t testing.TB, hosts int, load float64, seed uint64) (used, best, unplaced int) {
+	set := lives.Settings(t, "")
+	s := lives.New(t, set, 0)
+	q := &Question{Settings: set}
+	cores := 0.0
+	for i := range hosts {
+		kind, c, m := "small", 8., 16.
+		if i%3 == 2 {
+			kind, c, m = "large", 32, 64
+		}
+		cfg := standin.Default(fmt.Sprint("n", i), kind, "a", fmt.Sprint("r", i/4), c, m)
+		cfg.Swing, cfg.Notes, cfg.Use = 0, 0, 0.7
+		s.AddHost(cfg)
+		q.Hosts = append(q.Hosts, Host{ID: cfg.Name, Kind: kind, Zone: "a", Rack: cfg.Rack, Cores: c, Memory: m, Cost: 1})
+		cores += c
+	}
+	s.List()
+	s.Run(time.Second)
+	rng := rand.New(rand.NewPCG(seed, 9))
+	text := "name: p\nservices:\n"
+	left := load * cores
+	for i := 0; left > 0; i++ {
+		n, c := 1+rng.IntN(5), []float64{0.5, 1, 2, 4}[rng.IntN(4)]
+		if left -= float64(n) * c; left < 0 {
+			break
+		}
+		text += fmt.Sprintf("  s%d: {deploy: {replicas: %d, resources: {reservations: {cpus: '%.1f', memory: %dm}}}}\n", i, n, c, int(c*1400))
+	}
+	id := s.Submit("", text)
+	outcomes := s.Await(id, 2*time.Minute)
+	on := map[string]bool{}
+	for _, o := range outcomes {
+		if o.Outcome == core.WordPlaced {
+			on[o.Host] = true
+		} else {
+			unplaced++
+		}
+	}
+	q.What = []*description.Description{s.Parse(text)}
+	end := time.Now().Add(5 * time.Second)
+	p, err := Solve(q, solve.Options{Stop: func() bool { return time.Now().After(end) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(on), p.Hosts, unplaced
+}
+
+// BenchmarkDistance tells how far the module's placements are from the least hosts in use.
+// go test ./internal/plan -run xxx -bench Distance -benchtime 1x
+func BenchmarkDistance(b *testing.B) {
+	for _, hosts := range []int{12, 40, 130} {
+		for _, load := range []float64{0.3, 0.6, 0.85} {
+			b.Run(fmt.Sprintf("hosts=%d/load=%.2f", hosts, load), func(b *testing.B) {
+				var used, best, unplaced int
+				for b.Loop() {
+					used, best, unplaced = distance(b, hosts, load, 1)
+				}
+				b.ReportMetric(float64(used), "hosts")
+				b.ReportMetric(float64(best), "least")
+				b.ReportMetric(float64(unplaced), "unplaced")
+			})
+		}
+	}
+}
