--- a/internal/cli/explore.go
+++ b/internal/cli/explore.go
@@ -73,6 +73,7 @@
 						names = []string{name}
 					}
 				}
+				cfg.Cycles = cfg.Cycles || p.Property == "liveness"
 				// Enough for it to show, unless told otherwise.
 				for name, to := range map[string]*int{"faults": &cfg.Faults, "tasks": &cfg.Tasks, "asks": &cfg.Asks, "hosts": &cfg.Hosts} {
 					if !cmd.Flags().Changed(name) {
@@ -101,6 +102,7 @@
 	f.IntVar(&cfg.Attempts, "attempts", 2, "attempts of a task, 1 to 3")
 	f.IntVar(&cfg.Faults, "faults", 1, "connections cut, hosts that die or drain, crashes of the placer, all together")
 	f.BoolVar(&cfg.Ends, "ends", false, "tasks may end by themselves")
+	f.BoolVar(&cfg.Cycles, "cycles", false, "look for fair steps that lead round in a circle, too (more memory)")
 	f.IntVar(&cfg.Workers, "workers", 0, "goroutines (default: one a processor)")
 	f.IntVar(&cfg.MostStates, "most", 0, "stop behind so many states (default: 100 million, about 8 GiB)")
 	f.StringVar(&cfg.Plant, "plant", "", "a bug to plant")
--- a/internal/explore/actions.go
+++ b/internal/explore/actions.go
@@ -172,7 +172,9 @@
 			add(true, func(st *step) {
 				x := &st.s.tasks[ti]
 				x.owner = asking
-				x.asks++
+				if !st.m.askAlways || x.asks == 0 {
+					x.asks++
+				}
 			}, "task %d is asked for", ti)
 		}
 		add(true, func(st *step) {
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -12,6 +12,34 @@
 	return Config{Tasks: 1, Hosts: 2, Effect: effect, Asks: 2, Attempts: 2, Faults: 1}
 }
 
+// planted is the smallest search that shows a plant.
+func planted(p *Plant) Config {
+	cfg := small(p.Effect)
+	cfg.Plant, cfg.Faults = p.Name, p.Faults
+	if p.Faults > 1 {
+		cfg.Hosts = 1
+	}
+	if p.Property == "liveness" {
+		cfg.Hosts, cfg.Cycles = 1, true
+	}
+	return cfg
+}
+
+// No fair run goes round: with the states in which nothing fair is left, that is liveness.
+func TestNoCycle(t *testing.T) {
+	for _, effect := range []forkhead.Effect{forkhead.Safe, forkhead.Keyed, forkhead.Unsafe} {
+		cfg := small(effect)
+		cfg.Hosts, cfg.Cycles = 1, true
+		if effect == forkhead.Unsafe {
+			cfg.Hosts = 2
+		}
+		r, err := Run(cfg)
+		if err != nil || !r.Complete {
+			t.Fatalf("effect %d: %+v, %v", effect, r, err)
+		}
+	}
+}
+
 // With nothing planted every state is reached and no property is broken.
 func TestNothingFound(t *testing.T) {
 	for _, effect := range []forkhead.Effect{forkhead.Safe, forkhead.Keyed, forkhead.Unsafe} {
@@ -32,11 +60,7 @@
 // Each planted bug is found, as the property that it breaks.
 func TestPlants(t *testing.T) {
 	for _, p := range Plants {
-		cfg := small(p.Effect)
-		cfg.Plant = p.Name
-		if cfg.Faults = p.Faults; p.Faults > 1 {
-			cfg.Hosts = 1
-		}
+		cfg := planted(&p)
 		r, err := Run(cfg)
 		if err != nil {
 			t.Fatal(err)
@@ -115,11 +139,7 @@
 // the step that broke a property is vetoed, or leads to nothing that should not be.
 func TestReplay(t *testing.T) {
 	for _, p := range Plants {
-		cfg := small(p.Effect)
-		cfg.Plant = p.Name
-		if cfg.Faults = p.Faults; p.Faults > 1 {
-			cfg.Hosts = 1
-		}
+		cfg := planted(&p)
 		r, err := Run(cfg)
 		if err != nil || len(r.Violations) == 0 {
 			t.Fatalf("%s: %v, %v", p.Name, r, err)
--- a/internal/explore/machines.go
+++ b/internal/explore/machines.go
@@ -32,6 +32,7 @@
 	noCallOff  bool // a stray is adopted without calling off what is out
 	keepsLine  bool // a host keeps offers in line when their connection ends
 	anyConn    bool // frames of an older connection are taken for ones of the present
+	askAlways  bool // an owner asks again for good, whatever came of it
 	recheckNot bool // a drain told between choosing and writing is not looked for again
 }
 
@@ -139,6 +140,9 @@
 	{"late-write", "an offer that waited for its connection is written after hosts have forgotten its key", "no-repeat", forkhead.Keyed, 1, func(m *machines) {
 		m.mayWrite = func(*attempt.Ask, time.Duration, int) error { return nil }
 	}},
+	{"ask-for-good", "an owner asks again for good", "liveness", forkhead.Safe, 1, func(m *machines) {
+		m.askAlways = true
+	}},
 	{"died-ignored", "the end of a host's life settles nothing", "no-leak", forkhead.Unsafe, 1,
 		phaseRule(attempt.Unknown, attempt.Died, attempt.Unknown, attempt.None)},
 }
--- a/internal/explore/search.go
+++ b/internal/explore/search.go
@@ -24,6 +24,7 @@
 	Faults       int // connections cut, hosts that die or drain, crashes of the placer, all together
 	NoCrash      bool
 	Ends         bool // tasks may end by themselves
+	Cycles       bool // look for cycles of fair steps as well: 16 bytes more a step
 	Plant        string
 	Workers      int                     // 0: one a processor
 	MostStates   int                     // 0: 100 million
@@ -61,7 +62,7 @@
 // Properties and what each says.
 var Properties = []struct{ Name, Text string }{
 	{"one-outcome", "A task is told one outcome in one life of its placer."},
-	{"liveness", "Where nothing fair is left to happen, every task has been told its outcome; each fair step uses something up, so a fair run comes there."},
+	{"liveness", "Where nothing fair is left to happen, every task has been told its outcome; and fair steps never lead round in a circle, so a fair run comes there."},
 	{"one-out", "No offer is written while another of the same ask is waiting or unanswered."},
 	{"no-repeat", "No offer of an unsafe task, or of a keyed one after its window, is written while an earlier attempt of any ask or life may run or have run, unless the placer knows that it is over and the ask is a new one; and no unsafe task starts while another start of it runs."},
 	{"drain", "No offer is written to a host after the grace of a drain that the placer was told of."},
@@ -91,6 +92,7 @@
 	ends   atomic.Int64
 	mu     sync.Mutex
 	found  []hit
+	edges  [][][2]uint64 // of fair steps, by worker
 }
 
 type hit struct {
@@ -143,6 +145,7 @@
 	began := time.Now()
 	root := start(&s.cfg)
 	root = root.canonical(s.cfg.Tasks, s.cfg.Hosts)
+	s.edges = make([][][2]uint64, s.cfg.Workers)
 	frontier := []state{root}
 	s.add(xxhash.Sum64(root.bytes()), 0, 0)
 	r := &Result{Complete: true, Violations: []Violation{}}
@@ -159,6 +162,11 @@
 			s.cfg.Progress(int(s.count.Load()), r.Depth)
 		}
 	}
+	if s.cfg.Cycles && len(s.found) == 0 && r.Complete {
+		if at, ok := s.cycle(); ok {
+			s.found = append(s.found, hit{at, -1, "liveness", "fair steps lead from this state back to it: the service may go round for good"})
+		}
+	}
 	for _, h := range s.found {
 		r.Violations = append(r.Violations, Violation{Property: h.property, Why: h.why, Trace: s.trace(root, h)})
 		break // of one depth, one is enough
@@ -188,7 +196,7 @@
 					return
 				}
 				for i := from; i < min(from+chunk, len(frontier)); i++ {
-					parts[w], acts = s.expand(&frontier[i], parts[w], acts)
+					parts[w], acts = s.expand(&frontier[i], parts[w], acts, w)
 				}
 			}
 		}()
@@ -205,7 +213,7 @@
 	return out
 }
 
-func (s *search) expand(from *state, out []state, acts []action) ([]state, []action) {
+func (s *search) expand(from *state, out []state, acts []action, w int) ([]state, []action) {
 	hash := xxhash.Sum64(from.bytes())
 	acts = s.actions(from, acts)
 	fair := false
@@ -226,9 +234,13 @@
 			continue
 		}
 		c := next.canonical(s.cfg.Tasks, s.cfg.Hosts)
-		if s.add(xxhash.Sum64(c.bytes()), hash, uint16(i)) {
+		to := xxhash.Sum64(c.bytes())
+		if s.add(to, hash, uint16(i)) {
 			out = append(out, c)
 		}
+		if s.cfg.Cycles && acts[i].fair {
+			s.edges[w] = append(s.edges[w], [2]uint64{hash, to})
+		}
 	}
 	if !fair {
 		s.ends.Add(1)
@@ -239,6 +251,41 @@
 	return out, acts
 }
 
+// cycle looks for a cycle of fair steps: states are taken off as long as none that is left leads to
+// them; what cannot be taken off lies on a cycle, or behind one.
+func (s *search) cycle() (at uint64, found bool) {
+	into := map[uint64]int32{}
+	next := map[uint64][]uint64{}
+	for _, part := range s.edges {
+		for _, e := range part {
+			into[e[1]]++
+			next[e[0]] = append(next[e[0]], e[1])
+		}
+	}
+	var free []uint64
+	for from := range next {
+		if into[from] == 0 {
+			free = append(free, from)
+		}
+	}
+	for len(free) > 0 {
+		from := free[len(free)-1]
+		free = free[:len(free)-1]
+		for _, to := range next[from] {
+			if into[to]--; into[to] == 0 {
+				free = append(free, to)
+			}
+		}
+		delete(next, from)
+	}
+	for from := range next {
+		if into[from] > 0 && (!found || from < at) {
+			at, found = from, true
+		}
+	}
+	return at, found
+}
+
 func (s *search) hit(h hit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
