--- a/internal/solve/solve.go
+++ b/internal/solve/solve.go
@@ -38,16 +38,46 @@
 	Machine int    // most on one host; 0: no limit
 	Rack    int    // most in one rack
 	Zone    int    // most in one zone
+	Near    []Near // services that it has to be beside
 	Runs    []int  // tasks of it that run on each host now; nil: none
 	Why     string // what May comes from, for a conflict
 	Where   string // FILE:LINE:COL
 }
 
+// Near keeps a service's tasks to places where another service has one.
+type Near struct {
+	Service int
+	Place   Place
+}
+
+// Place is a sort of place.
+type Place uint8
+
+// The places.
+const (
+	OnHost Place = iota
+	InRack
+	InZone
+)
+
 // Instance is a question.
 type Instance struct {
 	Hosts    []Host
 	Services []Service
-	Move     int64 // cost of each task that is not where one of its service runs
+	Move     int64  // cost of each task that is not where one of its service runs
+	Home     string // a zone; "": none
+	Cross    int64  // cost of each task outside it
+}
+
+// beside says whether two hosts are in one place.
+func (in *Instance) beside(p Place, a, b int) bool {
+	switch p {
+	case InRack:
+		return in.Hosts[a].Rack == in.Hosts[b].Rack
+	case InZone:
+		return in.Hosts[a].Zone == in.Hosts[b].Zone
+	}
+	return a == b
 }
 
 // Answer is what was found.
@@ -76,10 +106,42 @@
 		case s.May != nil && len(s.May) != len(in.Hosts), s.Runs != nil && len(s.Runs) != len(in.Hosts):
 			return fmt.Errorf("service %d, %s: lists by host have another length than the hosts", i, s.Name)
 		}
+		for _, n := range s.Near {
+			if n.Service < 0 || n.Service >= len(in.Services) || n.Place > InZone {
+				return fmt.Errorf("service %d, %s: it is near service %d, which is not here", i, s.Name, n.Service)
+			}
+		}
+	}
+	if in.Cross < 0 || in.Move < 0 || in.Cross > 1<<40 || in.Move > 1<<40 {
+		return fmt.Errorf("moves and crossings cost 0 to 2^40")
+	}
+	if in.depth() == nil {
+		return fmt.Errorf("services are near each other in a circle")
 	}
 	return nil
 }
 
+// depth is how far each service is from one that is near nothing; nil if they go round.
+func (in *Instance) depth() []int {
+	out := make([]int, len(in.Services))
+	for round := 0; ; round++ {
+		changed := false
+		for i, s := range in.Services {
+			for _, n := range s.Near {
+				if d := out[n.Service] + 1; d > out[i] {
+					out[i], changed = d, true
+				}
+			}
+		}
+		if !changed {
+			return out
+		}
+		if round > len(in.Services) {
+			return nil
+		}
+	}
+}
+
 // Check holds an answer against its instance: a certificate of a few lines, with none of the
 // solver's code.
 func Check(in *Instance, counts [][]int, cost int64) error {
@@ -106,6 +168,18 @@
 			case s.Machine > 0 && k > s.Machine:
 				return fmt.Errorf("%s: %d on %s, at most %d", s.Name, k, h.ID, s.Machine)
 			}
+			for _, near := range s.Near {
+				found := false
+				for o, c := range counts[near.Service] {
+					found = found || c > 0 && in.beside(near.Place, o, hi)
+				}
+				if !found {
+					return fmt.Errorf("%s on %s, and no %s beside it", s.Name, h.ID, in.Services[near.Service].Name)
+				}
+			}
+			if in.Home != "" && h.Zone != in.Home {
+				total += in.Cross * int64(k)
+			}
 			n += k
 			racks[h.Rack] += k
 			zones[h.Zone] += k
@@ -210,7 +284,9 @@
 	bestCost int64
 	nodes    int
 	stopped  bool
-	places   bool // some service has a limit in racks or zones
+	places   bool // racks and zones matter
+	beside   bool // some service has to be on the very host of another
+	placing  int  // the service that is being placed: those before it are all there
 }
 
 func newSearch(in *Instance, opt Options) *search {
@@ -234,9 +310,10 @@
 	for i := range in.Services {
 		s.order = append(s.order, i)
 	}
+	depth := in.depth() // what others are near to goes before them
 	slices.SortStableFunc(s.order, func(a, b int) int {
 		x, y := &in.Services[a], &in.Services[b]
-		return cmp.Or(cmp.Compare(size(y), size(x)), cmp.Compare(allowed(x), allowed(y)))
+		return cmp.Or(cmp.Compare(depth[a], depth[b]), cmp.Compare(size(y), size(x)), cmp.Compare(allowed(x), allowed(y)))
 	})
 	racks, zones := map[string]int{}, map[string]int{}
 	intern := func(m map[string]int, name string) int {
@@ -250,9 +327,18 @@
 		s.free, s.freeMem = append(s.free, h.Cores), append(s.freeMem, h.Memory)
 	}
 	s.held = make([]int, n)
+	at := make([]int, len(s.order)) // place in the order, by service
+	for k, i := range s.order {
+		at[i] = k
+	}
 	for _, i := range s.order {
 		v := in.Services[i]
-		s.places = s.places || v.Rack > 0 || v.Zone > 0
+		s.places = s.places || v.Rack > 0 || v.Zone > 0 || len(v.Near) > 0 || in.Home != ""
+		v.Near = slices.Clone(v.Near)
+		for n := range v.Near {
+			v.Near[n].Service = at[v.Near[n].Service]
+			s.beside = s.beside || v.Near[n].Place == OnHost
+		}
 		s.svc = append(s.svc, v)
 		s.counts = append(s.counts, make([]int, n))
 		s.racks, s.zones = append(s.racks, make([]int, len(racks))), append(s.zones, make([]int, len(zones)))
@@ -399,9 +485,25 @@
 	if v.Zone > 0 {
 		n = min(n, v.Zone-s.zones[k][s.zoneOf[hi]])
 	}
+	for _, near := range v.Near {
+		// Only once the other is all placed is it known where; until then anywhere may do.
+		if near.Service < s.placing && !s.hasNear(near, hi) {
+			return 0
+		}
+	}
 	return max(n, 0)
 }
 
+func (s *search) hasNear(n Near, hi int) bool {
+	switch n.Place {
+	case InRack:
+		return s.racks[n.Service][s.rackOf[hi]] > 0
+	case InZone:
+		return s.zones[n.Service][s.zoneOf[hi]] > 0
+	}
+	return s.counts[n.Service][hi] > 0
+}
+
 func (s *search) put(k, hi, by int) {
 	v := &s.svc[k]
 	s.counts[k][hi] += by
@@ -418,6 +520,9 @@
 			s.cost -= s.in.Hosts[hi].Cost
 		}
 	}
+	if s.in.Home != "" && s.in.Hosts[hi].Zone != s.in.Home {
+		s.cost += s.in.Cross * int64(by)
+	}
 	if v.Runs != nil {
 		now, was := s.counts[k][hi], s.counts[k][hi]-by
 		s.cost += s.in.Move * int64(max(now-v.Runs[hi], 0)-max(was-v.Runs[hi], 0))
@@ -609,7 +714,7 @@
 		twin := false
 		for _, o := range out {
 			if s.alike[o] == s.alike[hi] && s.free[o] == s.free[hi] && s.freeMem[o] == s.freeMem[hi] &&
-				s.counts[k][o] == s.counts[k][hi] && (s.held[o] > 0) == (s.held[hi] > 0) {
+				s.counts[k][o] == s.counts[k][hi] && (s.held[o] > 0) == (s.held[hi] > 0) && (!s.beside || s.held[o] == 0) {
 				twin = true
 				break
 			}
@@ -664,6 +769,9 @@
 			}
 		}
 		slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(keys[a], keys[b]) })
+		if s.nears() {
+			slices.Sort(order) // what others are near to has to go before them
+		}
 		if s.fill(order) {
 			s.close()
 		}
@@ -677,7 +785,9 @@
 
 // fill places all tasks that are not placed, service by service, each on the host that better says.
 func (s *search) fill(order []int) bool {
+	defer func(was int) { s.placing = was }(s.placing)
 	for _, k := range order {
+		s.placing = k
 		for s.total(k) < s.svc[k].Count {
 			best := -1
 			for hi := range s.in.Hosts {
@@ -691,7 +801,29 @@
 			s.put(k, best, 1)
 		}
 	}
-	s.keep()
+	if s.nearKept() {
+		s.keep()
+	}
+	return true
+}
+
+// nears says whether any service has to be near another.
+func (s *search) nears() bool {
+	return slices.ContainsFunc(s.svc, func(v Service) bool { return len(v.Near) > 0 })
+}
+
+// nearKept says whether all tasks are beside those that they have to be near to: emptying a host
+// may have taken those away.
+func (s *search) nearKept() bool {
+	for k := range s.svc {
+		for _, n := range s.svc[k].Near {
+			for hi, c := range s.counts[k] {
+				if c > 0 && !s.hasNear(n, hi) {
+					return false
+				}
+			}
+		}
+	}
 	return true
 }
 
@@ -735,7 +867,7 @@
 				}
 			}
 			h.Closed = true
-			good := s.fill(order) && s.cost < before
+			good := s.fill(order) && s.cost < before && s.nearKept()
 			h.Closed = false
 			if good {
 				again = true
@@ -770,6 +902,8 @@
 	for k < len(s.svc) && placed == s.svc[k].Count {
 		k, placed, from = k+1, 0, 0
 	}
+	defer func(was int) { s.placing = was }(s.placing)
+	s.placing = k
 	if k == len(s.svc) {
 		s.keep()
 		return
--- a/internal/solvecheck/solvecheck.go
+++ b/internal/solvecheck/solvecheck.go
@@ -66,9 +66,24 @@
 			(s.Machine == 0 || byHost[[2]int{si, hi}] <= s.Machine) &&
 			(s.Rack == 0 || byRack[at{si, h.Rack}] <= s.Rack) && (s.Zone == 0 || byZone[at{si, h.Zone}] <= s.Zone)
 	})
+	for key := range byHost {
+		for _, near := range in.Services[key[0]].Near {
+			found := false
+			for other := range byHost {
+				x, y := in.Hosts[other[1]], in.Hosts[key[1]]
+				found = found || other[0] == near.Service && (other[1] == key[1] || near.Place == solve.InRack && x.Rack == y.Rack || near.Place == solve.InZone && x.Zone == y.Zone)
+			}
+			good = good && found
+		}
+	}
 	if !good {
 		return 0, false
 	}
+	for key, n := range byHost {
+		if in.Home != "" && in.Hosts[key[1]].Zone != in.Home {
+			total += in.Cross * int64(n)
+		}
+	}
 	for key, n := range byHost {
 		if runs := in.Services[key[0]].Runs; runs != nil && n > runs[key[1]] {
 			total += in.Move * int64(n-runs[key[1]])
@@ -111,8 +126,14 @@
 				s.Runs = append(s.Runs, rng.IntN(2))
 			}
 		}
+		if i > 0 && rng.IntN(4) == 0 {
+			s.Near = []solve.Near{{Service: rng.IntN(i), Place: solve.Place(rng.IntN(3))}}
+		}
 		in.Services = append(in.Services, s)
 	}
+	if rng.IntN(3) == 0 {
+		in.Home, in.Cross = "z0", rng.Int64N(3)
+	}
 	return in
 }
 
