Services near others: by labels in the placer, in plan and in Compose; a leak mended

Need: affinity. near: {db: rack} keeps a service's tasks to racks (hosts, zones) where a task of db is placed, by a label bit that the module is told of as it changes; it waits for db.

--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -18,7 +18,8 @@
 	var pf projectFlags
 	var hosts, running, config string
 	var limit time.Duration
-	var move int64
+	var move, cross int64
+	var home string
 	var selfcheck int
 	c := &cobra.Command{
 		Use: "plan --hosts HOSTS FILE...", Short: "work out placements ahead, or what conflicts where there are none", Args: cobra.ArbitraryArgs,
@@ -33,7 +34,7 @@
 			if err != nil {
 				return err
 			}
-			q := &plan.Question{Settings: s, Move: move}
+			q := &plan.Question{Settings: s, Move: move, Home: home, Cross: cross}
 			text, err := file(hosts)
 			if err != nil {
 				return err
@@ -72,6 +73,8 @@
 	c.Flags().StringVar(&config, "config", "", "settings whose classes and tenants descriptions may name (default: built-in ones)")
 	c.Flags().DurationVar(&limit, "limit", 10*time.Second, "answer after this with what there is")
 	c.Flags().Int64Var(&move, "move", 1, "cost of a move, in the hosts' unit")
+	c.Flags().StringVar(&home, "home", "", "a zone that tasks should be in")
+	c.Flags().Int64Var(&cross, "cross", 1, "cost of each task outside --home")
 	c.Flags().IntVar(&selfcheck, "selfcheck", 0, "compare the solver with brute force on so many random instances")
 	return c
 }
--- a/internal/compose/decode.go
+++ b/internal/compose/decode.go
@@ -199,6 +199,11 @@
 	d.restart(&s, v, deploy)
 	d.update(&s, deploy)
 	d.dependsOn(&s, v, inactive)
+	for _, n := range s.Near { // what it has to be beside goes first
+		if !slices.ContainsFunc(s.DependsOn, func(dep description.Dependency) bool { return dep.Service == n.Service }) {
+			s.DependsOn = append(s.DependsOn, description.Dependency{Service: n.Service, Pos: n.Pos})
+		}
+	}
 	d.tied(v)
 	if g := v.get("stop_grace_period"); g != nil {
 		s.StopGrace = d.duration(g, "stop_grace_period", 0, 24*time.Hour)
@@ -235,6 +240,19 @@
 			*f.to = d.duration(v, f.key, time.Millisecond, 365*24*time.Hour)
 		}
 	}
+	if near := d.of(own.get("near"), mapping, "near"); near != nil {
+		for _, name := range near.keys {
+			place := d.of(near.fields[name], scalar, "near")
+			switch {
+			case place == nil:
+			case !slices.Contains([]string{"machine", "rack", "zone"}, place.text):
+				d.want(place.pos, "machine, rack or zone", "near %s is %q", name, place.text)
+			default:
+				pos := near.keyPos[name]
+				s.Near = append(s.Near, description.Near{Service: name, Place: place.text, Pos: pos})
+			}
+		}
+	}
 	spread := d.of(own.get("spread"), mapping, "spread")
 	if spread == nil {
 		return
--- a/internal/compose/elements.go
+++ b/internal/compose/elements.go
@@ -155,6 +155,7 @@
 	{"life", honoured, "how long a task runs, roughly"},
 	{"wait", honoured, "one ask is given up after this; default the class's"},
 	{"patience", honoured, "the task is asked for, again and again, for so long; default the class's"},
+	{"near", honoured, "`SERVICE: machine`, `rack` or `zone`: its tasks go only where a task of that service is placed, and wait for it"},
 	{"whole", honoured, "at the top level only: a description that is proven not to fit whole is turned away with its conflict"},
 	{"spread", honoured, "`machine`, `rack`, `zone`: the most tasks of the service in one; the class's limit holds beside it"},
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -425,6 +426,47 @@
 	s.Clean()
 }
 
+// A service that has to be near another goes only where that one is, follows it where it is placed
+// anew, and is refused where there is no room beside it.
+func TestNear(t *testing.T) {
+	s := lives.New(t, lives.Settings(t, ""), 8)
+	out := s.Await(s.Submit("", `
+name: p
+services:
+  db: {deploy: {resources: {reservations: {cpus: "6"}}}}
+  web: {x-forkhead: {near: {db: rack}}, deploy: {replicas: 4}}
+  side: {x-forkhead: {near: {db: machine}}}
+  far: {x-forkhead: {near: {db: machine}, wait: 400ms, patience: 800ms}, deploy: {resources: {reservations: {cpus: "31"}}}}
+`), 10*time.Second)
+	db := out["db/1"]
+	for i := 1; i <= 4; i++ {
+		if o := out[fmt.Sprintf("web/%d", i)]; o.Outcome != core.WordPlaced || o.Rack != db.Rack {
+			t.Fatalf("db is at %+v, web/%d at %+v", db, i, o)
+		}
+	}
+	if o := out["side/1"]; o.Host != db.Host {
+		t.Fatalf("db is at %+v, side at %+v", db, o)
+	}
+	if o := out["far/1"]; o.Outcome != core.WordRefused {
+		t.Fatalf("far: %+v", o)
+	}
+	// Its host dies for good: db comes up elsewhere, and what comes anew follows it.
+	s.Kill(db.Host)
+	s.Hosts[db.Host].Listed = false
+	s.List()
+	s.Run(5 * time.Second)
+	out = s.Await(s.Submit("", `
+name: p
+services:
+  db: {deploy: {resources: {reservations: {cpus: "6"}}}}
+  new: {x-forkhead: {near: {db: machine}}}
+`), 10*time.Second)
+	if now := out["db/1"]; now.Host == db.Host || out["new/1"].Host != now.Host {
+		t.Fatalf("%+v", out)
+	}
+	s.Clean()
+}
+
 func TestRestartPolicy(t *testing.T) {
 	s := lives.New(t, lives.Settings(t, ""), 2)
 	s.Await(s.Submit("", `
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -118,7 +119,7 @@
 		seen[h] = true
 		h.listed, h.entry, h.kind = true, entry, kind
 		h.zone, h.cell = number(c.zones, entry.Zone), number(c.racks, entry.Rack)
-		h.labels = c.labels.of(&h.entry)
+		h.labels = c.labelsOf(h)
 		c.link(h, hostlink.Input{Kind: hostlink.Listed, Address: entry.Address})
 	}
 	update := forkhead.Update{Mode: l.Mode}
@@ -523,6 +524,7 @@
 	most  int
 	rows  [64]*labelRow
 	index map[string]int
+	near  int // rows that change with what is placed
 }
 
 type labelRow struct {
@@ -530,17 +532,73 @@
 	users int
 }
 
-// of returns the bits of the constraints that a host meets.
-func (l *labels) of(e *HostEntry) uint64 {
+// labelsOf returns the bits of the constraints that a host meets now.
+func (c *Core) labelsOf(h *host) uint64 {
 	bits := uint64(0)
-	for i, row := range l.rows {
-		if row != nil && meets(e, &row.what) {
+	for i, row := range c.labels.rows {
+		if row == nil {
+			continue
+		}
+		good := false
+		if place, ok := nearPlaces[row.what.Attribute]; ok {
+			good = c.isNear(h, place, row.what.Value)
+		} else {
+			good = meets(&h.entry, &row.what)
+		}
+		if good {
 			bits |= 1 << i
 		}
 	}
 	return bits
 }
 
+// nearPlaces are the attributes that are met where another service has a task.
+var nearPlaces = map[description.Attribute]forkhead.Place{
+	"near.machine": forkhead.OnMachine, "near.rack": forkhead.InCell, "near.zone": forkhead.InZone,
+}
+
+// nearConstraints makes constraints of what a service has to be beside. The value is the other's
+// number, which is the same in every submission.
+func nearConstraints(project string, d *description.Description, s *description.Service) (out []description.Constraint) {
+	for _, n := range s.Near {
+		tenant := ""
+		if other := d.Service(n.Service); other != nil {
+			tenant = other.Tenant
+		}
+		key := description.ServiceKey(tenant, project, n.Service)
+		out = append(out, description.Constraint{Attribute: description.Attribute("near." + n.Place), Value: strconv.FormatUint(key, 10), Pos: n.Pos})
+	}
+	return out
+}
+
+// isNear says whether a task of a service is placed in the host's place.
+func (c *Core) isNear(h *host, place forkhead.Place, service string) bool {
+	key, err := strconv.ParseUint(service, 10, 64)
+	if err != nil {
+		return false
+	}
+	for _, t := range c.live[key] {
+		if t.phase() != attempt.Placed {
+			continue
+		}
+		switch place {
+		case forkhead.OnMachine:
+			if t.host == h {
+				return true
+			}
+		case forkhead.InCell:
+			if t.host.cell == h.cell {
+				return true
+			}
+		case forkhead.InZone:
+			if t.host.zone == h.zone {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func meets(e *HostEntry, c *description.Constraint) bool {
 	return (e.Attributes[c.Attribute] == c.Value) != c.Not
 }
@@ -569,6 +627,9 @@
 				return 0, false
 			}
 			l.rows[i] = &labelRow{what: con}
+			if _, near := nearPlaces[con.Attribute]; near {
+				l.near++
+			}
 			l.index[name] = i
 			fresh = true
 		}
@@ -598,6 +659,9 @@
 	row := c.labels.rows[i]
 	if row.users--; row.users == 0 {
 		delete(c.labels.index, row.what.String())
+		if _, near := nearPlaces[row.what.Attribute]; near {
+			c.labels.near--
+		}
 		c.labels.rows[i] = nil
 	}
 }
@@ -606,7 +670,7 @@
 func (c *Core) relabel() {
 	var changed []forkhead.Machine
 	for _, h := range c.sorted() {
-		if bits := c.labels.of(&h.entry); bits != h.labels {
+		if bits := c.labelsOf(h); bits != h.labels {
 			h.labels = bits
 			if h.listed {
 				changed = append(changed, h.machine())
--- a/internal/core/projects.go
+++ b/internal/core/projects.go
@@ -182,7 +182,8 @@
 func (c *Core) needs(p *project, d *description.Description) ([]uint64, bool) {
 	out := make([]uint64, len(d.Services))
 	for i := range d.Services {
-		bits, ok := c.takeLabels(d.Services[i].Constraints)
+		spec := &d.Services[i]
+		bits, ok := c.takeLabels(append(slices.Clone(spec.Constraints), nearConstraints(p.name, d, spec)...))
 		if !ok {
 			for _, b := range out[:i] {
 				c.dropLabels(b)
@@ -254,8 +255,8 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(p.services)) {
-		if d.Service(name) == nil {
-			c.removeService(p.services[name])
+		if svc := p.services[name]; svc != nil && d.Service(name) == nil {
+			c.removeService(svc)
 		}
 	}
 	for i := range d.Services {
@@ -382,6 +383,12 @@
 		return
 	}
 	delete(p.services, svc.name)
+	for _, name := range slices.Sorted(maps.Keys(p.services)) {
+		// What this one waited for may have been kept for its sake alone.
+		if other := p.services[name]; other != nil && len(other.wishes) == 0 {
+			c.tidy(other)
+		}
+	}
 	if len(p.services) == 0 && c.projects[p.name] == p {
 		delete(c.projects, p.name)
 	}
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -341,6 +341,9 @@
 			delete(c.unknown, w.key)
 		}
 	}
+	if c.labels.near > 0 && (before == attempt.Placed) != (after == attempt.Placed) {
+		c.relabel() // others may have to be beside it
+	}
 	out := forkhead.Outcome{Task: k.id, Attempt: t.number, Machine: t.machine, Took: c.now - k.Attempts[t.number].At, Report: d.report}
 	wasPlaced := before == attempt.Placed || before == attempt.Silent
 	switch effect {
@@ -448,6 +451,9 @@
 	t := &try{ask: k, host: h, machine: h.id, ref: ref, hostEpoch: epoch, conn: conn, accepted: true, runs: true}
 	k.tries = []*try{t}
 	c.index(t)
+	if c.labels.near > 0 {
+		c.relabel()
+	}
 	c.tell(forkhead.HandedOver{Task: k.task, Machine: h.id})
 	c.bound(w, t)
 }
@@ -879,6 +885,9 @@
 		for _, con := range w.spec.Constraints {
 			parts = append(parts, con.String())
 		}
+		for _, n := range w.spec.Near {
+			parts = append(parts, "near "+n.Service+" in one "+n.Place)
+		}
 		return "no ready host meets " + strings.Join(parts, ", "), false
 	case free == 0:
 		for _, h := range c.sorted() {
--- a/internal/description/description.go
+++ b/internal/description/description.go
@@ -61,6 +61,7 @@
 	Constraints []Constraint
 	Preferences []Attribute // spread evenly over these, as far as it goes
 	Limits      []Limit
+	Near        []Near // services that its tasks have to be beside
 	Restart     Restart
 	Update      Update
 	DependsOn   []Dependency
@@ -97,6 +98,13 @@
 	Pos   source.Pos
 }
 
+// Near keeps a service's tasks to places where another service of the project has one.
+type Near struct {
+	Service string
+	Place   string // machine, rack or zone
+	Pos     source.Pos
+}
+
 // When says when an ended task is started again.
 type When uint8
 
--- a/internal/lives/lives.go
+++ b/internal/lives/lives.go
@@ -61,6 +61,10 @@
 			names++
 			text := fmt.Sprintf("name: p%d\nservices:\n  a: {x-forkhead: {class: %s, life: %dms}, deploy: {replicas: %d, restart_policy: {condition: on-failure}, resources: {reservations: {cpus: '%.1f'}}}}\n",
 				rng.IntN(names+1)%6, []string{"web", "keyed", "cell", "ledger", "ledger", "batch"}[rng.IntN(6)], 500+rng.IntN(6000), 1+rng.IntN(6), 0.2+rng.Float64()*2)
+			if rng.IntN(4) == 0 {
+				text += fmt.Sprintf("  b: {x-forkhead: {near: {a: %s}, life: 3s}, deploy: {replicas: %d, restart_policy: {condition: on-failure}}}\n",
+					[]string{"machine", "rack", "zone"}[rng.IntN(3)], 1+rng.IntN(3))
+			}
 			if id := s.Submit(fmt.Sprintf("k%d", names), text); id != "" {
 				subs = append(subs, sub{id, s.Epoch, s.Now + 21*time.Second})
 			}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -131,7 +131,9 @@
 	Hosts    []Host
 	What     []*description.Description
 	Running  []Running
-	Move     int64 // cost of a move
+	Move     int64  // cost of a move
+	Home     string // a zone; "": none
+	Cross    int64  // cost of a task outside it
 }
 
 // item is a service of the question.
@@ -156,8 +158,11 @@
 			Cores: int64(math.Floor(h.Cores*m.AcceptCores*1000 + 1e-6)), Memory: int64(math.Floor(h.Memory*m.AcceptMemory*1024 + 1e-6)),
 		})
 	}
+	in.Home, in.Cross = q.Home, q.Cross
 	var items []item
+	first := 0 // of the services of the description in hand
 	for _, d := range q.What {
+		first = len(items)
 		for si := range d.Services {
 			spec := &d.Services[si]
 			class := q.Settings.DefaultClass
@@ -192,6 +197,13 @@
 			if spec.Mode.Each() {
 				s.Count = fits
 			}
+			for _, n := range spec.Near {
+				for oi := range d.Services {
+					if d.Services[oi].Name == n.Service {
+						s.Near = append(s.Near, solve.Near{Service: first + oi, Place: nearPlaces[n.Place]})
+					}
+				}
+			}
 			for _, l := range spec.Limits {
 				limit(&s, l.Place, l.Most)
 			}
@@ -220,6 +232,8 @@
 	return in, items, nil
 }
 
+var nearPlaces = map[string]solve.Place{"machine": solve.OnHost, "rack": solve.InRack, "zone": solve.InZone}
+
 func limit(s *solve.Service, place string, most int) {
 	to := map[string]*int{"machine": &s.Machine, "rack": &s.Rack, "zone": &s.Zone}[place]
 	if *to == 0 || most < *to {
@@ -321,6 +335,9 @@
 			out = append(out, fmt.Sprintf("%s: at most %d of %s in one rack", q.limitPos(it, "rack"), s.Rack, s.Name))
 		case "zone":
 			out = append(out, fmt.Sprintf("%s: at most %d of %s in one zone", q.limitPos(it, "zone"), s.Zone, s.Name))
+		case "near":
+			n := it.spec.Near[0]
+			out = append(out, fmt.Sprintf("%s: %s has to be near %s, in one %s", n.Pos, s.Name, n.Service, n.Place))
 		case "may":
 			var why []string
 			if it.kind != "" {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -59,6 +59,8 @@
 		"too large":   {[]description.Service{service("x", "c", 1, 9)}, []string{"x asks for 1 tasks of 9 cores", "the cores of the 3 hosts"}},
 		"kind drains": {[]description.Service{service("x", "b", 3, 3)}, []string{"x asks for 3", "the cores of the 3 hosts", "x runs only on hosts with kind big"}},
 		"rack":        {[]description.Service{service("ok", "c", 1, 1), service("x", "r", 5, 1)}, []string{"x asks for 5", "at most 2 of x in one rack"}},
+		"near": {[]description.Service{service("x", "b", 1, 4), {Name: "y", Class: "c", Replicas: 2, Cores: 4, Memory: 1, Near: []description.Near{{Service: "x", Place: "machine"}}}},
+			[]string{"x asks for 1", "y asks for 2", "the cores of the 3 hosts", "y has to be near x, in one machine"}},
 		"no such label": {[]description.Service{{Name: "x", Replicas: 1, Cores: 1, Constraints: []description.Constraint{{Attribute: "label.disk", Value: "tape"}}}},
 			[]string{"x asks for 1", "x runs only on hosts with label.disk == tape"}},
 	} {
--- a/internal/solve/conflict.go
+++ b/internal/solve/conflict.go
@@ -6,7 +6,7 @@
 // exists without it.
 type Part struct {
 	Service int    // by place; -1: of the hosts
-	What    string // tasks, machine, rack, zone, may, cores, memory
+	What    string // tasks, machine, rack, zone, may, near, cores, memory
 }
 
 // Conflict returns a set of parts that together cannot be met, of which none can be left out: a
@@ -30,7 +30,7 @@
 		for _, l := range []struct {
 			on   bool
 			what string
-		}{{s.Machine > 0, "machine"}, {s.Rack > 0, "rack"}, {s.Zone > 0, "zone"}, {s.May != nil, "may"}} {
+		}{{s.Machine > 0, "machine"}, {s.Rack > 0, "rack"}, {s.Zone > 0, "zone"}, {s.May != nil, "may"}, {len(s.Near) > 0, "near"}} {
 			if l.on {
 				all = append(all, Part{i, l.what})
 			}
@@ -70,6 +70,11 @@
 		if parts[Part{i, "may"}] {
 			s.May = nil
 		}
+		if parts[Part{i, "near"}] {
+			s.Near = nil
+		}
+		// Who was near a service that is left out is near nothing of it.
+		s.Near = slices.DeleteFunc(slices.Clone(s.Near), func(n Near) bool { return parts[Part{n.Service, "tasks"}] })
 		if parts[Part{-1, "cores"}] {
 			s.Cores = 0
 		}
