--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -30,6 +30,7 @@
 
 	link   hostlink.Link
 	ready  bool // Welcome and all its Holds have come
+	spoken bool // they came at least once: a Welcome alone says nothing of what it holds
 	await  int  // Holds entries still to come
 	holds  map[hostproto.Ref]bool
 	heard  time.Duration
@@ -418,7 +419,7 @@
 // opened follows the last of a host's Holds: what it did not name is asked about, and what
 // waited for the connection goes out.
 func (c *Core) opened(h *host) {
-	h.ready = true
+	h.ready, h.spoken = true, true
 	var refs []hostproto.Ref
 	for _, t := range h.sortedTries() {
 		switch p := t.phase(); {
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -592,7 +592,7 @@
 
 func (c *Core) heardAll() bool {
 	for _, h := range c.hosts {
-		if h.listed && h.link.Epoch == 0 {
+		if h.listed && !h.spoken {
 			return false
 		}
 	}
