--- a/internal/core/projects.go
+++ b/internal/core/projects.go
@@ -560,6 +560,21 @@
 	c.begin(twin)
 }
 
+// overtaken begins the replacement of a task that ended, or was lost, while it waited in the queue
+// of its service's update. Guards against one that comes back as its old make, and tells that as
+// the outcome of the new.
+func (c *Core) overtaken(w *wish) bool {
+	i := slices.Index(w.svc.queue, w)
+	if i < 0 || w.svc.update == nil {
+		return false
+	}
+	w.svc.queue = slices.Delete(w.svc.queue, i, i+1)
+	w.svc.update.Begin()
+	w.state = waiting
+	c.replace(w, w.svc.spec)
+	return true
+}
+
 // awaitEnd bounds the wait for a task's earlier copy to end: its host may be out of reach.
 func (c *Core) awaitEnd(w *wish) {
 	patience := w.next.Patience
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -659,7 +659,7 @@
 
 // impatient ends the wait of an owner whose time is over.
 func (c *Core) impatient(w *wish) {
-	if w.claim == nil || w.state == done || w.gone {
+	if w.state == done || w.gone {
 		return
 	}
 	if w.state == placed {
@@ -670,6 +670,9 @@
 		}
 		return
 	}
+	if w.claim == nil {
+		return
+	}
 	if w.state == asking {
 		return // the ask ends by now too, and with it the wait
 	}
@@ -735,6 +738,7 @@
 		c.drop(w)
 	case w.next != nil:
 		c.replaced(w)
+	case c.overtaken(w):
 	case w.spec == nil || w.svc.fostered:
 		c.drop(w) // nobody knows any more what it was made of
 	case w.lives >= c.set.Owner.Lives:
@@ -767,6 +771,9 @@
 		c.over(w, t, cause)
 		return
 	}
+	if w.try = nil; c.overtaken(w) {
+		return
+	}
 	well := d.result == forkhead.OK
 	r := &w.spec.Restart
 	want := r.When == description.Always && !w.spec.Mode.Job() || r.When != description.Never && !well
@@ -779,11 +786,10 @@
 		}
 	}
 	if !want {
-		w.try, w.state, w.success = nil, done, well
+		w.state, w.success = done, well
 		c.wake(w.svc)
 		return
 	}
-	w.try = nil
 	w.watchSeq++
 	c.rolledOut(w, well)
 	w.owner.Begin(c.now + forever)
