--- a/internal/compose/elements.go
+++ b/internal/compose/elements.go
@@ -56,7 +56,7 @@
 	{"cpus", honoured, "as `deploy.resources.limits.cpus`"},
 	{"cpuset", passed, ""},
 	{"credential_spec", passed, ""},
-	{"depends_on", honoured, "`service_healthy` is reached when the tasks run: hosts tell no more"},
+	{"depends_on", honoured, "`service_healthy` is reached when the tasks run: hosts tell no more; `restart: true` is noted, not acted on"},
 	{"deploy", honoured, "see below"},
 	{"develop", noted, "concerns a developer's machine"},
 	{"device_cgroup_rules", passed, ""},
@@ -131,7 +131,7 @@
 
 var deployElements = []element{
 	{"endpoint_mode", passed, ""},
-	{"labels", honoured, "of the service"},
+	{"labels", passed, "of the service, as `service_labels`"},
 	{"mode", honoured, "`global` follows the hosts that are ready when it is submitted"},
 	{"placement.constraints", honoured, "`node.id`, `node.hostname`, `node.role`, `node.platform.os`, `node.platform.arch`, `node.labels.*`; `engine.labels.*` is refused"},
 	{"placement.preferences", honoured, "`spread` over `node.labels.zone` or `node.labels.rack`: a limit at the first ask, dropped when it cannot be kept"},
