Dead state and a second copy of guard.Same taken out

Cause: a last reading found a count of unknown attempts that nothing calls, a flag of accepted attempts that nothing reads, an unused field of the server, two wrappers in the solver that only passed 0 on, and a switch over places that guard.Same has.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -313,17 +313,6 @@
 	return false
 }
 
-// Unknown counts the attempts of which nobody knows what became.
-func (a *Ask) Unknown() int {
-	n := 0
-	for i := range a.Attempts {
-		if a.Attempts[i].Phase == Unknown {
-			n++
-		}
-	}
-	return n
-}
-
 // Done says whether the ask is answered and all its attempts are settled: it can be forgotten.
 func (a *Ask) Done() bool {
 	if a.Answer == Open {
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -306,11 +306,8 @@
 		}
 		c.input(t, attempt.Refusal(t.phase()), detail{reason: forkhead.Reason(f.Reason), report: report(f.Report)})
 	case hostproto.Accepted:
-		if t := h.tries[f.Ref]; t != nil {
-			t.accepted = true
-			if !c.set.Module.BoundWhenRunning {
-				c.input(t, attempt.Accepted, detail{})
-			}
+		if t := h.tries[f.Ref]; t != nil && !c.set.Module.BoundWhenRunning {
+			c.input(t, attempt.Accepted, detail{})
 		}
 	case hostproto.Running:
 		if t := h.tries[f.Ref]; t != nil {
@@ -401,7 +398,6 @@
 		case t != nil && held.Phase == hostproto.InLine:
 			c.send(h, hostproto.Withdraw{Ref: held.Ref}) // it was given up when the connection broke
 		case t != nil && held.Phase == hostproto.Starting:
-			t.accepted = true
 			c.input(t, attempt.Held, detail{})
 		case t != nil:
 			c.running(t, attempt.Held)
@@ -582,22 +578,8 @@
 		return false
 	}
 	for _, t := range c.live[key] {
-		if t.phase() != attempt.Placed {
-			continue
-		}
-		switch place {
-		case forkhead.OnMachine:
-			if t.host == h {
-				return true
-			}
-		case forkhead.InCell:
-			if t.host.cell == h.cell {
-				return true
-			}
-		case forkhead.InZone:
-			if t.host.zone == h.zone {
-				return true
-			}
+		if t.phase() == attempt.Placed && guard.Same(place, t.host.guard(), h.guard()) {
+			return true
 		}
 	}
 	return false
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -35,7 +35,6 @@
 	ref       hostproto.Ref
 	hostEpoch uint64 // the host's life in which it was written
 	conn      uint32 // the connection on which it was written
-	accepted  bool
 	runs      bool
 	moving    bool // stopped by the module, to be placed anew
 }
@@ -448,7 +447,7 @@
 	k := c.newAsk(w)
 	k.Answer = attempt.Bound
 	k.Attempts = []attempt.Attempt{{Host: attempt.Host(h.id), Phase: attempt.Placed, At: c.now}}
-	t := &try{ask: k, host: h, machine: h.id, ref: ref, hostEpoch: epoch, conn: conn, accepted: true, runs: true}
+	t := &try{ask: k, host: h, machine: h.id, ref: ref, hostEpoch: epoch, conn: conn, runs: true}
 	k.tries = []*try{t}
 	c.index(t)
 	if c.labels.near > 0 {
--- a/internal/placerd/placerd.go
+++ b/internal/placerd/placerd.go
@@ -56,7 +56,6 @@
 	links  map[string]*hostConn // by host
 	dirty  []*hostConn
 	watch  *listwatch.Watch
-	asked  bool // the core has subscribed, and no watch runs
 
 	front   net.Listener
 	conns   atomic.Int64
--- a/internal/sexp/sexp.go
+++ b/internal/sexp/sexp.go
@@ -245,7 +245,7 @@
 	return false, source.Wantf(n.Pos, "yes or no", "%q", word)
 }
 
-// Field reads one value of a form; a Form lists the fields that may stand in it.
+// Field reads one value of a form.
 type Field func(n *Node) error
 
 // Fields reads each item as a list whose head is one of the fields. It adds an error for an
--- a/internal/solve/solve.go
+++ b/internal/solve/solve.go
@@ -237,8 +237,8 @@
 	own := *in
 	own.Hosts = slices.Clone(in.Hosts)
 	s := newSearch(&own, opt)
-	root := s.bound(0)
-	if s.possible(0) {
+	root := s.boundAt(0, 0)
+	if s.fitsFrom(0, 0) {
 		s.first()
 		if !s.stopped && (s.best == nil || root < s.bestCost) {
 			s.descend(0, 0, 0)
@@ -529,10 +529,8 @@
 	}
 }
 
-// possible says whether the services from one on could still be placed, each by itself, and all
+// fitsFrom says whether the services from one on could still be placed, each by itself, and all
 // together by their sums. A no is a proof.
-func (s *search) possible(from int) bool { return s.fitsFrom(from, 0) }
-
 func (s *search) fitsFrom(from, placed int) bool {
 	var cores, memory int64
 	for hi, h := range s.in.Hosts {
@@ -616,10 +614,8 @@
 	return false
 }
 
-// bound is a lower bound of the cost of any completion: what is spent, and the cheapest share of
+// boundAt is a lower bound of the cost of any completion: what is spent, and the cheapest share of
 // unused hosts that covers what the used ones cannot hold. placed tasks of service from are there.
-func (s *search) bound(from int) int64 { return s.boundAt(from, 0) }
-
 func (s *search) boundAt(from, placed int) int64 {
 	if from >= len(s.svc) {
 		return s.cost
