--- a/internal/badday/badday.go
+++ b/internal/badday/badday.go
@@ -35,6 +35,7 @@
 	Log     zerolog.Logger
 	Breaker scene.Breaker // a module that is built to break rules, for tests
 	Begun   func(trouble script.Trouble)
+	Keep    bool // the tapes of placers' lives, for Result.Tapes
 }
 
 // Result is what a day came to.
@@ -55,7 +56,9 @@
 	P50MS       float64        `json:"p50_ms"` // from submission to a placed outcome
 	P99MS       float64        `json:"p99_ms"`
 	Seconds     float64        `json:"seconds"`
+	Accounts    rules.Accounts `json:"accounts"` // their sum is the tasks
 	Record      []record.Event `json:"-"`
+	Tapes       []scene.Life   `json:"-"`
 	Verdict     rules.Verdict  `json:"-"`
 }
 
@@ -96,7 +99,7 @@
 // Play plays a day to its end.
 func Play(ctx context.Context, s *script.Script, opt Options) (*Result, error) {
 	log := record.New(mostEvents)
-	c, err := scene.Start(s, log, opt.Log, opt.Breaker)
+	c, err := scene.Start(s, log, opt.Log, opt.Breaker, opt.Keep)
 	if err != nil {
 		return nil, err
 	}
@@ -150,7 +153,7 @@
 	r := &Result{
 		Rules: map[string]int{}, Vetoes: vetoes, Defects: defects, Tasks: v.Tasks, Outcomes: v.Outcomes, Submissions: int(p.subs.Load()),
 		TurnedAway: int(p.away.Load()), Resent: int(p.resent.Load()), Offers: v.Offers, Refused: v.Refused, HostLives: v.Lives,
-		Troubles: len(s.Troubles), Events: len(events), Seconds: time.Since(p.start).Seconds(), Record: events, Verdict: v,
+		Accounts: v.Accounts, Tapes: c.Tapes(), Troubles: len(s.Troubles), Events: len(events), Seconds: time.Since(p.start).Seconds(), Record: events, Verdict: v,
 		P50MS: float64(p.tracks.v.ValueAtQuantile(50)) / 1000, P99MS: float64(p.tracks.v.ValueAtQuantile(99)) / 1000,
 	}
 	for rule := guard.OneAnswer; rule <= guard.Spread; rule++ {
@@ -260,7 +263,7 @@
 	sub.Line = func(o core.Outcome) {
 		p.log.Add(record.Event{
 			At: p.c.Clock.Now(), What: record.Outcome, Placer: placer, Submission: current,
-			Name: fmt.Sprintf("%s/%d", o.Service, o.Replica), Result: o.Outcome,
+			Name: fmt.Sprintf("%s/%d", o.Service, o.Replica), Result: o.Outcome, Took: time.Duration(o.TookMS) * time.Millisecond,
 		})
 	}
 	e := &placerd.Envelope{Project: name, Files: []compose.File{{Name: name + ".yaml", Text: pr.text}}}
@@ -329,6 +332,9 @@
 	fmt.Fprintf(w, "%d offers reached hosts, %d refused there; %d lives of hosts; %d troubles; %d events in %.0f s\n",
 		r.Offers, r.Refused, r.HostLives, r.Troubles, r.Events, r.Seconds)
 	fmt.Fprintf(w, "placed after %.1f ms (median), %.1f ms (99 in 100)\n", r.P50MS, r.P99MS)
+	a := &r.Accounts
+	fmt.Fprintf(w, "of the tasks %d were told an outcome, %d lost their placer before it was due, %d were cut off and not asked for again, "+
+		"%d were not due yet, %d forgotten\n", a.Told, a.Dead, a.Cut, a.NotDue, a.Forgotten)
 	for rule := guard.OneAnswer; rule <= guard.Spread; rule++ {
 		fmt.Fprintf(w, "rule %-10s %d breaches\n", rule, r.Rules[rule.String()])
 	}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -165,7 +165,7 @@
 				return err
 			}
 			named(e, d, names[0])
-			sc, err := scene.Start(s, nil, a.log, nil)
+			sc, err := scene.Start(s, nil, a.log, nil, false)
 			if err != nil {
 				return err
 			}
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -73,6 +73,7 @@
 type conn struct {
 	s      *Server
 	id     standin.ConnID
+	life   *standin.Host // in which it was opened
 	c      *netio.Conn
 	dec    hostproto.Decoder
 	buf    []byte
@@ -263,6 +264,7 @@
 		s.next++
 		h.id = s.next
 		s.conns[h.id] = h
+		h.life = s.life
 		if s.life != nil && !s.deaf {
 			s.carry(s.life.Opened(s.cfg.Clock.Now(), h.id))
 		}
@@ -310,77 +312,30 @@
 
 // frame takes a frame that was read at a time.
 func (s *Server) frame(h *conn, f hostproto.Frame, at time.Duration) {
-	if s.life == nil || s.deaf || s.mute[h] || s.conns[h.id] != h {
+	// h.life guards against a frame that was read before its host died and comes to its turn in the
+	// next life: neither that life nor the record may take it for one of its own.
+	if s.life == nil || s.deaf || s.mute[h] || s.conns[h.id] != h || h.life != s.life {
 		return
 	}
 	if hello, ok := f.(hostproto.Hello); ok {
 		h.placer, h.epoch = int(hello.Placer), hello.Epoch
 	}
-	s.came(h, f, at)
+	s.note(h, f, at)
 	s.carry(s.life.Frame(s.cfg.Clock.Now(), h.id, f))
 }
 
-func (s *Server) came(h *conn, f hostproto.Frame, at time.Duration) {
+// note records a frame that came to the host or leaves it.
+func (s *Server) note(h *conn, f hostproto.Frame, at time.Duration) {
 	if s.cfg.Log == nil {
 		return
 	}
-	e := record.Event{At: at, Host: s.cfg.Host.Name, Epoch: s.life.Epoch(), Placer: h.placer, PlacerEpoch: h.epoch, Conn: uint64(h.id)}
-	switch f := f.(type) {
-	case hostproto.Hello:
-		e.What = record.Hello
-	case hostproto.Offer:
-		e.What, e.Key, e.Service, e.Name, e.Class = record.Offer, f.Spec.Key, f.Spec.Service, f.Spec.Name, f.Spec.Class
-		setRef(&e, f.Ref)
-	case hostproto.Withdraw:
-		e.What = record.Withdraw
-		setRef(&e, f.Ref)
-	case hostproto.Stop:
-		e.What = record.Stop
-		setRef(&e, f.Ref)
-	default:
-		return
-	}
-	s.cfg.Log.Add(e)
-}
-
-func (s *Server) left(h *conn, f hostproto.Frame) {
-	if s.cfg.Log == nil {
-		return
-	}
-	e := record.Event{At: s.cfg.Clock.Now(), Host: s.cfg.Host.Name, Placer: h.placer, PlacerEpoch: h.epoch, Conn: uint64(h.id)}
+	e := record.Event{At: at, Host: s.cfg.Host.Name, Placer: h.placer, PlacerEpoch: h.epoch, Conn: uint64(h.id)}
 	if s.life != nil {
 		e.Epoch = s.life.Epoch()
 	}
-	switch f := f.(type) {
-	case hostproto.Refused:
-		e.What = record.Refused
-		setRef(&e, f.Ref)
-	case hostproto.Accepted:
-		e.What = record.Accepted
-		setRef(&e, f.Ref)
-	case hostproto.Running:
-		e.What = record.Running
-		setRef(&e, f.Ref)
-	case hostproto.Ended:
-		e.What, e.Result = record.Ended, resultNames[f.Result]
-		setRef(&e, f.Ref)
-	case hostproto.Drain:
-		e.What, e.On = record.Drain, f.On
-	case hostproto.Welcome:
-		if !f.Draining {
-			return
-		}
-		e.What, e.On = record.Drain, true
-	default:
-		return
+	for _, e := range record.Frame(e, f) {
+		s.cfg.Log.Add(e)
 	}
-	s.cfg.Log.Add(e)
-}
-
-var resultNames = [...]string{"done", "failed", "evicted", "pushed-out", "sent-away", "stopped", "called", "forgotten"}
-
-func setRef(e *record.Event, r hostproto.Ref) {
-	e.RefEpoch, e.Task, e.Attempt = r.Epoch, r.Task, r.Attempt
 }
 
 // ---- Time.
@@ -418,7 +373,7 @@
 			h.c.Close()
 			continue
 		}
-		s.left(h, o.Frame)
+		s.note(h, o.Frame, s.cfg.Clock.Now())
 		if len(h.buf) == 0 {
 			touched = append(touched, h)
 		}
--- a/internal/placerd/front_test.go
+++ b/internal/placerd/front_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	sc, err := scene.Start(s, nil, zerolog.Nop(), nil)
+	sc, err := scene.Start(s, nil, zerolog.Nop(), nil, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/placerd/placerd.go
+++ b/internal/placerd/placerd.go
@@ -30,6 +30,10 @@
 	Log      zerolog.Logger
 	Seed     uint64
 	Epoch    uint64 // 0: by the clock
+	// Tap is shown each step of the core: its time, when it had asked for it by itself (0: not), its
+	// inputs in the order in which they came and its outputs in the order in which they go out. It
+	// must keep none of them. nil: nobody looks.
+	Tap func(now, due time.Duration, in []core.Input, out []core.Output)
 	// Drop loses a message from another placer, for tests; nil: none.
 	Drop func(from int) bool
 	// Decide stands in the module's place, for tests of the guard and the checker.
@@ -53,6 +57,7 @@
 	core   *core.Core
 
 	inputs []core.Input         // of the batch in hand
+	due    time.Duration        // when the core asked to be stepped; 0: not
 	links  map[string]*hostConn // by host
 	dirty  []*hostConn
 	watch  *listwatch.Watch
@@ -175,7 +180,11 @@
 func (s *Server) step(now time.Duration) (time.Duration, bool) {
 	in := s.inputs
 	s.inputs = s.inputs[:0]
-	for _, o := range s.core.Step(now, in...) {
+	out := s.core.Step(now, in...)
+	if s.cfg.Tap != nil {
+		s.cfg.Tap(now, s.due, in, out)
+	}
+	for _, o := range out {
 		s.carry(o)
 	}
 	clear(in)
@@ -186,7 +195,12 @@
 		h.buf, h.dirty = h.buf[:0], false
 	}
 	s.dirty = s.dirty[:0]
-	return s.core.Next()
+	next, ok := s.core.Next()
+	s.due = 0
+	if ok {
+		s.due = next
+	}
+	return next, ok
 }
 
 func (s *Server) carry(o core.Output) {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -1,5 +1,6 @@
 // Package record is the traffic of a run as seen at the hosts', the clients' and the catalogue's
-// end: what the rules are checked on. It holds nothing of any placer's own tables.
+// end, and at the placers' own sockets: what the rules are checked on. It holds nothing of any
+// placer's own tables.
 package record
 
 import (
@@ -35,12 +36,18 @@
 	PlacerUp What = "placer-up"
 	Killed   What = "placer-down"
 	Cut      What = "client-cut" // a client's stream broke: nothing more is read of it
+	Welcome  What = "welcome"    // a host greeted back: Epoch, On: it drains
+	Held     What = "held"       // and named an attempt that it holds: Result says how far it is
+	Late     What = "late"       // at a placer: a step ran Within after it was due
 )
 
-// Event is one thing that happened.
+// Event is one thing that happened. It is noted at the host's, the client's or the catalogue's end,
+// or, with Near, at the placer's own: in the order in which its loop took what had come and wrote
+// what goes out. Only there is it known what a placer could know when it sent something.
 type Event struct {
 	At          time.Duration `json:"at"` // since the epoch of the run's clock
 	What        What          `json:"what"`
+	Near        bool          `json:"near,omitempty"`
 	Host        string        `json:"host,omitempty"`
 	Epoch       uint64        `json:"epoch,omitempty"` // of the host's life
 	Zone        string        `json:"zone,omitempty"`
@@ -63,6 +70,7 @@
 	Submission  string        `json:"submission,omitempty"`
 	Count       int           `json:"count,omitempty"`
 	Within      time.Duration `json:"within,omitempty"`
+	Took        time.Duration `json:"took,omitempty"` // of an outcome, by the placer's clock
 }
 
 // Log gathers events. A nil Log takes none.
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -67,6 +67,7 @@
 	Counts   [guard.Rules]int
 	Breaches []Breach // the first of them
 	Tasks    int      // tasks of which an outcome was owed
+	Accounts Accounts
 	Outcomes map[string]int
 	Offers   int
 	Refused  int
@@ -113,30 +114,44 @@
 	withdraw time.Duration
 	gone     time.Duration // its connection ended
 	died     time.Duration // its host's life ended
+
+	placerEpoch uint64 // of the life that sent it
+	near        bool   // its placer noted it, too: what that placer knew is judged there
 }
 
 type checker struct {
-	f       Facts
-	v       Verdict
-	events  []record.Event
-	places  map[string]place
-	tries   map[ref]*try
-	byKey   map[uint64][]*try
-	bySvc   map[uint64][]*try
-	order   []*try
-	greeted map[string][]record.Event // Hello by host
-	deaths  map[int][]record.Event    // of placers
+	f      Facts
+	v      Verdict
+	events []record.Event
+	ours   []record.Event // noted at placers' own ends
+	places map[string]place
+	tries  map[ref]*try
+	byKey  map[uint64][]*try
+	bySvc  map[uint64][]*try
+	order  []*try
+	held   map[ref][]record.Event // by the host's life too: named to a life of a placer that greeted
+	deaths map[int][]record.Event // of placers
 }
 
 // Check judges a record.
 func Check(events []record.Event, f Facts) Verdict {
 	c := &checker{
 		f: f, events: slices.Clone(events), places: map[string]place{}, tries: map[ref]*try{}, byKey: map[uint64][]*try{},
-		bySvc: map[uint64][]*try{}, greeted: map[string][]record.Event{}, deaths: map[int][]record.Event{},
+		bySvc: map[uint64][]*try{}, held: map[ref][]record.Event{}, deaths: map[int][]record.Event{},
 	}
 	c.v.Outcomes = map[string]int{}
 	slices.SortStableFunc(c.events, func(a, b record.Event) int { return cmp.Compare(a.At, b.At) })
+	far := c.events[:0:0]
+	for i := range c.events {
+		if c.events[i].Near {
+			c.ours = append(c.ours, c.events[i])
+		} else {
+			far = append(far, c.events[i])
+		}
+	}
+	c.events = far
 	c.gather()
+	c.near()
 	c.answers()
 	c.repeats()
 	c.drains()
@@ -175,8 +190,8 @@
 				first(&t.died, e.At)
 			}
 			open[e.Host] = nil
-		case record.Hello:
-			c.greeted[e.Host] = append(c.greeted[e.Host], *e)
+		case record.Held:
+			c.held[refOf(e)] = append(c.held[refOf(e)], *e)
 		case record.Killed:
 			c.deaths[e.Placer] = append(c.deaths[e.Placer], *e)
 		case record.Gone:
@@ -187,7 +202,7 @@
 			}
 		case record.Offer:
 			c.v.Offers++
-			t := &try{ref: refOf(e), placer: e.Placer, key: e.Key, service: e.Service, class: e.Class, name: e.Name, conn: e.Conn, at: e.At}
+			t := &try{ref: refOf(e), placer: e.Placer, key: e.Key, service: e.Service, class: e.Class, name: e.Name, conn: e.Conn, at: e.At, placerEpoch: e.PlacerEpoch}
 			c.tries[t.ref] = t
 			c.byKey[t.key] = append(c.byKey[t.key], t)
 			c.bySvc[t.service] = append(c.bySvc[t.service], t)
@@ -229,70 +244,135 @@
 
 // ---- Rule 1.
 
+// sub is a submission as its client saw it.
+type sub struct {
+	name       string
+	at, within time.Duration
+	count      int
+	placer     int
+	cut        time.Duration // its stream last broke; 0: not
+	again      time.Duration // it was last asked for
+	told       map[string]string
+	near       time.Duration // its placer said at its own end that it was taken; 0: not noted
+}
+
+// Accounts say what became of each task that was submitted. Their sum is the tasks.
+type Accounts struct {
+	Told      int `json:"told"`        // its client read an outcome
+	Dead      int `json:"placer_dead"` // its placer died before the outcome was due
+	Cut       int `json:"cut"`         // its client's stream broke and the client did not ask again
+	NotDue    int `json:"not_due"`     // the record ends before the outcome was due
+	Forgotten int `json:"forgotten"`   // none of these: a breach
+}
+
+// Sum is the tasks that are accounted for.
+func (a *Accounts) Sum() int { return a.Told + a.Dead + a.Cut + a.NotDue + a.Forgotten }
+
 // answers checks that each task of each submission was told exactly one outcome, in time.
 func (c *checker) answers() {
-	type sub struct {
-		at, within time.Duration
-		count      int
-		placer     int
-		cut        bool
-		told       map[string]string
-	}
 	subs := map[string]*sub{}
-	var names []string
+	var order []*sub
 	end := time.Duration(0)
 	for i := range c.events {
 		e := &c.events[i]
 		end = e.At
+		s := subs[e.Submission]
 		switch e.What {
 		case record.Submit:
-			if s := subs[e.Submission]; s != nil {
-				continue // read again
+			if s != nil {
+				s.again = e.At
+				continue
 			}
-			subs[e.Submission] = &sub{at: e.At, within: e.Within, count: e.Count, placer: e.Placer, told: map[string]string{}}
-			names = append(names, e.Submission)
+			s = &sub{name: e.Submission, at: e.At, again: e.At, within: e.Within, count: e.Count, placer: e.Placer, told: map[string]string{}}
+			subs[e.Submission] = s
+			order = append(order, s)
 			c.v.Tasks += e.Count
 		case record.Cut:
-			if s := subs[e.Submission]; s != nil {
-				s.cut = true
-			}
-		case record.Outcome:
-			s := subs[e.Submission]
-			if s == nil {
-				c.breach(guard.OneAnswer, e.At, "an outcome for %s of submission %s, which nobody made", e.Name, e.Submission)
-				continue
+			if s != nil {
+				s.cut = e.At
 			}
-			if before, ok := s.told[e.Name]; ok {
-				if before != e.Result || !s.cut {
-					c.breach(guard.OneAnswer, e.At, "%s of submission %s was told %s and then %s", e.Name, e.Submission, before, e.Result)
-				}
-				continue
-			}
-			s.told[e.Name] = e.Result
-			c.v.Outcomes[e.Result]++
-			if e.Result != "placed" && e.Result != "refused" && e.Result != "failed" {
-				c.breach(guard.OneAnswer, e.At, "%s was told %q", e.Name, e.Result)
-			}
-			if late := e.At - s.at - s.within; late > c.f.Late && !s.cut {
-				c.breach(guard.OneAnswer, e.At, "%s of submission %s was told %v after its owner gave up", e.Name, e.Submission, late.Round(time.Millisecond))
+		}
+	}
+	slept := c.nearAnswers(subs)
+	for i := range c.events {
+		e := &c.events[i]
+		if e.What != record.Outcome {
+			continue
+		}
+		s := subs[e.Submission]
+		if s == nil {
+			c.breach(guard.OneAnswer, e.At, "an outcome for %s of submission %s, which nobody made", e.Name, e.Submission)
+			continue
+		}
+		cut := s.cut > 0 && s.cut <= e.At
+		if before, ok := s.told[e.Name]; ok {
+			if before != e.Result || !cut {
+				c.breach(guard.OneAnswer, e.At, "%s of submission %s was told %s and then %s", e.Name, e.Submission, before, e.Result)
 			}
+			continue
+		}
+		s.told[e.Name] = e.Result
+		c.v.Outcomes[e.Result]++
+		if e.Result != "placed" && e.Result != "refused" && e.Result != "failed" {
+			c.breach(guard.OneAnswer, e.At, "%s was told %q", e.Name, e.Result)
+		}
+		if late := e.At - s.at - s.within; late > c.f.Late && !cut {
+			c.breach(guard.OneAnswer, e.At, "%s of submission %s was told %v after its owner gave up", e.Name, e.Submission, late.Round(time.Millisecond))
+		}
+		// By the placer's clock there is no way to be late but a step that ran late.
+		if due := s.near + s.within; s.near > 0 && e.Took > s.within+time.Millisecond && !slept(s.placer, due) {
+			c.breach(guard.OneAnswer, e.At, "%s of submission %s was settled %v after its owner gave up", e.Name, e.Submission, e.Took-s.within)
 		}
 	}
-	for _, name := range names {
-		s := subs[name]
-		killed := false
+	for _, s := range order {
+		missing := s.count - len(s.told)
+		c.v.Accounts.Told += min(s.count, len(s.told))
+		if missing < 0 {
+			c.breach(guard.OneAnswer, end, "submission %s of %d tasks was told %d outcomes", s.name, s.count, len(s.told))
+			continue
+		}
+		due := s.at + s.within
+		dead := false
 		for _, d := range c.deaths[s.placer] {
-			killed = killed || d.At >= s.at
+			dead = dead || d.At >= s.at && d.At <= due
 		}
-		// What a placer held when it was killed is its client's to send again.
-		if missing := s.count - len(s.told); missing > 0 && !killed && end > s.at+s.within+c.f.Late {
-			c.breach(guard.OneAnswer, end, "%d of %d tasks of submission %s were never told an outcome", missing, s.count, name)
-		} else if missing < 0 {
-			c.breach(guard.OneAnswer, end, "submission %s of %d tasks was told %d outcomes", name, s.count, len(s.told))
+		switch {
+		case missing == 0:
+		case dead:
+			// What a placer held when it was killed is its client's to send again. A death after the
+			// outcome was due excuses nothing.
+			c.v.Accounts.Dead += missing
+		case s.cut > s.again:
+			c.v.Accounts.Cut += missing
+		case end <= due+c.f.Late:
+			c.v.Accounts.NotDue += missing
+		default:
+			c.v.Accounts.Forgotten += missing
+			c.breach(guard.OneAnswer, end, "%d of %d tasks of submission %s were never told an outcome", missing, s.count, s.name)
 		}
 	}
 }
 
+// nearAnswers notes when placers took submissions, by their own clocks, and returns whether a step
+// of a placer that was due by a time ran after it.
+func (c *checker) nearAnswers(subs map[string]*sub) (slept func(placer int, due time.Duration) bool) {
+	late := map[int][][2]time.Duration{}
+	for i := range c.ours {
+		e := &c.ours[i]
+		switch e.What {
+		case record.Submit:
+			if s := subs[e.Submission]; s != nil {
+				s.near = e.At
+			}
+		case record.Late:
+			late[e.Placer] = append(late[e.Placer], [2]time.Duration{e.At - e.Within, e.At})
+		}
+	}
+	return func(placer int, due time.Duration) bool {
+		return slices.ContainsFunc(late[placer], func(l [2]time.Duration) bool { return l[0] <= due && due <= l[1] })
+	}
+}
+
 // ---- Rule 2.
 
 // repeats checks each offer against the earlier attempts of its task.
@@ -315,6 +395,9 @@
 			if c.forgotten(o, t) {
 				continue
 			}
+			if t.near && o.placerEpoch == t.placerEpoch && o.placer == t.placer {
+				continue // judged by what its placer knew
+			}
 			// Out: unanswered on a connection that stands, and not withdrawn.
 			if !c.f.Parallel && !by(o.answered, t.at) && !by(o.withdraw, slack) && !by(o.gone, slack) && o.placer == t.placer {
 				c.breach(guard.NoRepeat, t.at, "%s was offered to %s while its attempt at %s was out", t.name, t.host, o.host)
@@ -396,7 +479,7 @@
 					notReady[p] = e.At
 				}
 			}
-		case record.Drain:
+		case record.Drain, record.Welcome:
 			p := pair{e.Placer, e.Host}
 			if e.On {
 				if _, known := drains[p]; !known {
@@ -421,7 +504,7 @@
 		case record.Offer:
 			p := pair{e.Placer, e.Host}
 			for _, since := range []map[pair]time.Duration{notReady, drains} {
-				if at, ok := since[p]; ok && e.At > at+c.f.Grace+c.f.Transit {
+				if at, ok := since[p]; ok && e.At > at+c.f.Grace+c.f.Transit && !c.tries[refOf(e)].near {
 					c.breach(guard.Drain, e.At, "placer %d offered %s to %s %v after it was told that the host drains or is gone",
 						e.Placer, e.Name, e.Host, (e.At - at).Round(time.Millisecond))
 				}
@@ -466,7 +549,7 @@
 func (c *checker) spread() {
 	for _, t := range c.order {
 		class := c.f.Classes[t.class]
-		if class.Spread == forkhead.Anywhere {
+		if class.Spread == forkhead.Anywhere || t.near {
 			continue
 		}
 		n := 1
@@ -501,10 +584,12 @@
 		}
 		return true
 	}
-	// Made by an earlier life: known to this one from when it greeted the host.
-	for _, h := range c.greeted[o.host] {
+	// Made by an earlier life: this one has it from when the host named it. What ended while no life
+	// was there to be told is not named, and its end is told to nobody: to count it for ever was a
+	// false breach of this checker.
+	for _, h := range c.held[o.ref] {
 		if h.Placer == t.placer && h.PlacerEpoch == t.epoch && h.At+c.f.Transit <= t.at {
-			return o.accepted > 0
+			return true
 		}
 	}
 	return false
--- a/internal/scene/path_test.go
+++ b/internal/scene/path_test.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	sc, err := scene.Start(s, nil, zerolog.Nop(), nil)
+	sc, err := scene.Start(s, nil, zerolog.Nop(), nil, false)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/scene/scene.go
+++ b/internal/scene/scene.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"forkhead"
 	"forkhead/internal/catalogued"
 	"forkhead/internal/clock"
+	"forkhead/internal/core"
 	"forkhead/internal/hostd"
 	"forkhead/internal/netio"
 	"forkhead/internal/placerd"
@@ -22,6 +24,7 @@
 	"forkhead/internal/script"
 	"forkhead/internal/settings"
 	"forkhead/internal/standin"
+	"forkhead/internal/tape"
 )
 
 // Scene is a running service.
@@ -33,6 +36,7 @@
 	Catalogue *catalogued.Server
 	Hosts     []*Host
 	Loss      atomic.Uint64 // of messages between placers, in thousandths
+	Keep      bool          // the tapes of placers' lives are kept
 
 	log     zerolog.Logger
 	engine  *netio.Engine
@@ -41,6 +45,8 @@
 	defects atomic.Uint64
 	offers  atomic.Uint64
 	lives   []int
+	mu      sync.Mutex // over tapes
+	tapes   []Life
 	breaker Breaker
 }
 
@@ -54,9 +60,10 @@
 	Rack  string
 }
 
-// Start brings everything up. logs may be nil: nothing is recorded then.
-func Start(s *script.Script, logs *record.Log, log zerolog.Logger, breaker Breaker) (*Scene, error) {
-	c := &Scene{Script: s, Clock: clock.New(), Log: logs, log: log, breaker: breaker}
+// Start brings everything up. logs may be nil: nothing is recorded then. keep: the tapes of placers'
+// lives are kept.
+func Start(s *script.Script, logs *record.Log, log zerolog.Logger, breaker Breaker, keep bool) (*Scene, error) {
+	c := &Scene{Script: s, Clock: clock.New(), Log: logs, Keep: keep, log: log, breaker: breaker}
 	var err error
 	if c.engine, err = netio.New("hosts", 2); err != nil {
 		return nil, err
@@ -164,7 +171,11 @@
 	c.lives[i]++
 	cfg := placerd.Config{
 		Settings: set, Clock: c.Clock, Log: c.log, Seed: uint64(c.Script.Seed)<<8 + uint64(i) + uint64(c.lives[i])<<32,
-		Drop: func(int) bool { return rand.Uint64N(1000) < c.Loss.Load() },
+		Epoch: uint64(c.Clock.Now().Microseconds()),
+		Drop:  func(int) bool { return rand.Uint64N(1000) < c.Loss.Load() },
+	}
+	if c.Log != nil {
+		cfg.Tap = c.tap(i, cfg.Seed, cfg.Epoch)
 	}
 	if c.breaker != nil {
 		cfg.Decide = c.breaker(set.Module)
@@ -185,6 +196,39 @@
 	return nil
 }
 
+// MostTape bounds the tape of one life of a placer, in bytes as it is kept.
+const MostTape = 64 << 20
+
+// Life is the tape of one life of a placer.
+type Life struct {
+	Placer, Life int // Life counts from 1
+	*tape.Writer
+}
+
+// tap notes what crosses a placer's own sockets, and keeps its tape where Keep says so.
+func (c *Scene) tap(placer int, seed, epoch uint64) func(now, due time.Duration, in []core.Input, out []core.Output) {
+	base := record.Event{Near: true, Placer: placer, PlacerEpoch: epoch}
+	var w *tape.Writer
+	if c.Keep {
+		w = tape.NewWriter(tape.Head{File: c.Script.File, Script: c.Script.Text, Placer: placer, Seed: seed, Epoch: epoch}, MostTape)
+		c.mu.Lock()
+		c.tapes = append(c.tapes, Life{Placer: placer, Life: c.lives[placer], Writer: w})
+		c.mu.Unlock()
+	}
+	return func(now, due time.Duration, in []core.Input, out []core.Output) {
+		for _, e := range tape.Events(base, now, due, in, out) {
+			c.Log.Add(e)
+		}
+		if w != nil {
+			// A tape that is cut short says so when it is ended.
+			_ = w.Add(&tape.Step{Now: now, Due: due, In: in, Out: tape.Lines(out)})
+		}
+	}
+}
+
+// Tapes returns the tapes that were kept. The placers must have stopped.
+func (c *Scene) Tapes() []Life { return c.tapes }
+
 // Placer returns a placer, or nil while it is down.
 func (c *Scene) Placer(i int) *placerd.Server { return c.placers[i].Load() }
 
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -26,6 +26,7 @@
 // Script is one day.
 type Script struct {
 	File      string
+	Text      []byte // as it was read
 	Settings  *settings.Settings
 	Seed      int
 	Length    time.Duration // load and troubles
@@ -156,7 +157,7 @@
 		return nil, source.Wantf(source.Pos{File: file, Line: 1, Col: 1}, "one (badday ...)", "the file holds something else")
 	}
 	s := &Script{
-		File: file, Seed: 1, Length: 20 * time.Second, Settle: 15 * time.Second,
+		File: file, Text: text, Seed: 1, Length: 20 * time.Second, Settle: 15 * time.Second,
 		Catalogue: Catalogue{Lag: 300 * time.Millisecond, Critical: 2 * time.Second, Deregister: 6 * time.Second},
 		Host: Host{
 			Look: 2 * time.Millisecond, Start: 20 * time.Millisecond, Notes: time.Second, Refresh: 500 * time.Millisecond,
--- /dev/null
+++ b/internal/tape/tape.go
@@ -0,0 +1,264 @@
+// Package tape keeps what the core of a running placer was given at each step and what it said,
+// and plays it again off the sockets: the same core, the same inputs at the same times, the same
+// outputs. What a busy machine did once becomes something that can be looked at step by step.
+package tape
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/gob"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/core"
+	"forkhead/internal/hostproto"
+	"forkhead/internal/record"
+	"forkhead/internal/script"
+)
+
+// Version is that of the form of a tape. A reader takes no other.
+const Version = 1
+
+// Head is what a life of a placer started from.
+type Head struct {
+	Version int
+	File    string // the script's
+	Script  []byte
+	Placer  int
+	Seed    uint64
+	Epoch   uint64
+}
+
+// Step is one step of the core.
+type Step struct {
+	Now time.Duration // since the epoch of the run's clock
+	Due time.Duration // when the core had asked to be stepped by itself; 0: not at all
+	In  []core.Input
+	Out []string // by Line
+}
+
+func init() {
+	// gob wants the types that stand behind an interface named.
+	for _, v := range []any{
+		core.Listing{}, core.Dialled{}, core.Broke{}, core.FromHost{}, core.Submit{}, core.Remove{}, core.FromPlacer{},
+		hostproto.Welcome{}, hostproto.Holds{}, hostproto.Refused{}, hostproto.Accepted{}, hostproto.Running{}, hostproto.Note{},
+		hostproto.Ended{}, hostproto.Probed{}, hostproto.Drain{}, hostproto.Bye{}, hostproto.Hello{}, hostproto.Offer{},
+		hostproto.Withdraw{}, hostproto.Stop{}, hostproto.Probe{}, hostproto.Query{},
+	} {
+		gob.Register(v)
+	}
+}
+
+// Line writes an output so that two can be compared.
+func Line(o core.Output) string {
+	text, err := json.Marshal(o)
+	if err != nil {
+		text = []byte(err.Error())
+	}
+	return strings.TrimPrefix(fmt.Sprintf("%T ", o), "core.") + string(text)
+}
+
+// Lines writes the outputs of a step.
+func Lines(out []core.Output) []string {
+	lines := make([]string, len(out))
+	for i, o := range out {
+		lines[i] = Line(o)
+	}
+	return lines
+}
+
+// ErrFull says that a tape has come to its bound: what follows is not on it.
+var ErrFull = errors.New("the tape is full")
+
+// Writer keeps a tape in memory, compressed, up to a bound in bytes.
+type Writer struct {
+	buf  bytes.Buffer
+	zip  *gzip.Writer
+	enc  *gob.Encoder
+	most int
+	err  error
+}
+
+// NewWriter begins a tape of at most so many bytes.
+func NewWriter(h Head, most int) *Writer {
+	w := &Writer{most: most}
+	w.zip, _ = gzip.NewWriterLevel(&w.buf, gzip.BestSpeed) // the level is a good one
+	w.enc = gob.NewEncoder(w.zip)
+	h.Version = Version
+	w.err = w.enc.Encode(h)
+	return w
+}
+
+// Add keeps a step. After an error, or at the bound, nothing more is kept.
+func (w *Writer) Add(s *Step) error {
+	if w.err == nil && w.buf.Len() >= w.most {
+		w.err = ErrFull
+	}
+	if w.err == nil {
+		w.err = w.enc.Encode(s)
+	}
+	return w.err
+}
+
+// Bytes ends the tape and returns it, with the error that cut it short.
+func (w *Writer) Bytes() ([]byte, error) {
+	return w.buf.Bytes(), errors.Join(w.zip.Close(), w.err)
+}
+
+// Divergence is the first step at which the core said something else than on the tape.
+type Divergence struct {
+	Step int           `json:"step"` // from 0
+	Now  time.Duration `json:"now"`
+	Want string        `json:"want"` // on the tape; "" if nothing more was
+	Got  string        `json:"got"`
+}
+
+// Replay is what came of playing a tape.
+type Replay struct {
+	Head     Head           `json:"-"`
+	Script   *script.Script `json:"-"`
+	Steps    int            `json:"steps"`
+	Offers   int            `json:"offers"`
+	Vetoes   uint64         `json:"vetoes"`
+	Defects  uint64         `json:"defects"`
+	Cut      bool           `json:"cut"` // the tape ends in the middle of a step: its placer was killed, or the file torn
+	Diverged *Divergence    `json:"diverged,omitempty"`
+	Events   []record.Event `json:"-"` // what crossed the placer's sockets, for the rules
+}
+
+// Play reads a tape and steps the core through it. Each step is also shown to look, if that is
+// not nil, with the outputs that the core gave now.
+func Play(r io.Reader, look func(s *Step, out []core.Output)) (*Replay, error) {
+	zip, err := gzip.NewReader(r)
+	if err != nil {
+		return nil, fmt.Errorf("not a tape: %w", err)
+	}
+	dec := gob.NewDecoder(zip)
+	p := &Replay{}
+	if err := dec.Decode(&p.Head); err != nil {
+		return nil, fmt.Errorf("not a tape: %w", err)
+	}
+	if p.Head.Version != Version {
+		return nil, fmt.Errorf("the tape is of version %d; want %d", p.Head.Version, Version)
+	}
+	if p.Script, err = script.Read(p.Head.File, p.Head.Script); err != nil {
+		return nil, err
+	}
+	set := p.Script.Settings
+	if p.Head.Placer < 0 || p.Head.Placer >= len(set.Placers) {
+		return nil, fmt.Errorf("the tape is of placer %d, which its script does not have", p.Head.Placer)
+	}
+	c, err := core.New(core.Config{Settings: set.For(p.Head.Placer), Seed: p.Head.Seed, Epoch: p.Head.Epoch})
+	if err != nil {
+		return nil, err
+	}
+	base := record.Event{Near: true, Placer: p.Head.Placer, PlacerEpoch: p.Head.Epoch}
+	for ; ; p.Steps++ {
+		var s Step
+		switch err := dec.Decode(&s); {
+		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+			p.Cut = !errors.Is(err, io.EOF)
+			st := c.Status()
+			p.Offers, p.Vetoes, p.Defects = int(st.Offers), st.Vetoes, st.Defects
+			return p, nil
+		case err != nil:
+			return nil, fmt.Errorf("step %d: %w", p.Steps, err)
+		}
+		out := c.Step(s.Now, s.In...)
+		p.Events = append(p.Events, Events(base, s.Now, s.Due, s.In, out)...)
+		if look != nil {
+			look(&s, out)
+		}
+		if p.Diverged == nil {
+			p.Diverged = compare(p.Steps, &s, Lines(out))
+		}
+	}
+}
+
+func compare(n int, s *Step, got []string) *Divergence {
+	at := func(lines []string, i int) string {
+		if i < len(lines) {
+			return lines[i]
+		}
+		return ""
+	}
+	for i := range max(len(got), len(s.Out)) {
+		if at(got, i) != at(s.Out, i) {
+			return &Divergence{Step: n, Now: s.Now, Want: at(s.Out, i), Got: at(got, i)}
+		}
+	}
+	return nil
+}
+
+// late is how long after its time a step may run without its being noted.
+const late = time.Millisecond
+
+// Events are what a step shows of a placer's own sockets, in the order in which its loop took what
+// had come and wrote what goes out. base names the placer and its life.
+func Events(base record.Event, now, due time.Duration, in []core.Input, out []core.Output) []record.Event {
+	base.At = now
+	var events []record.Event
+	if due > 0 && now > due+late {
+		e := base
+		e.What, e.Within = record.Late, now-due
+		events = append(events, e)
+	}
+	for _, in := range in {
+		e := base
+		switch in := in.(type) {
+		case core.FromHost:
+			e.Host, e.Conn = in.Host, uint64(in.Conn)
+			events = append(events, record.Frame(e, in.Frame)...)
+		case core.Broke:
+			e.What, e.Host, e.Conn = record.Gone, in.Host, uint64(in.Conn)
+			events = append(events, e)
+		case core.Listing:
+			if in.Mode == forkhead.ListFailed {
+				continue
+			}
+			e.What = record.Told
+			for i := range in.Hosts {
+				if h := &in.Hosts[i]; h.State == forkhead.Ready {
+					e.Ready = append(e.Ready, h.Name)
+				} else {
+					e.Draining = append(e.Draining, h.Name)
+				}
+			}
+			events = append(events, e)
+		}
+	}
+	for _, out := range out {
+		e := base
+		switch out := out.(type) {
+		case core.ToHost:
+			e.Host, e.Conn = out.Host, uint64(out.Conn)
+			events = append(events, record.Frame(e, out.Frame)...)
+		case core.Close:
+			e.What, e.Host, e.Conn = record.Gone, out.Host, uint64(out.Conn)
+			events = append(events, e)
+		case core.Taken:
+			e.What, e.Submission = record.Submit, out.Submission
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
+// Places are the hosts' zones and racks as a tape's lists name them, as a record has them.
+func Places(in []core.Input) []record.Event {
+	var events []record.Event
+	for _, in := range in {
+		if l, ok := in.(core.Listing); ok {
+			for i := range l.Hosts {
+				h := &l.Hosts[i]
+				events = append(events, record.Event{What: record.HostUp, Host: h.Name, Zone: h.Zone, Rack: h.Rack})
+			}
+		}
+	}
+	return events
+}
