--- /dev/null
+++ b/internal/cli/badday.go
@@ -0,0 +1,241 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"forkhead/internal/badday"
+	"forkhead/internal/core"
+	"forkhead/internal/guard"
+	"forkhead/internal/record"
+	"forkhead/internal/rules"
+	"forkhead/internal/script"
+	"forkhead/internal/tape"
+)
+
+type baddayFlags struct {
+	keep, onBreach, replay string
+	seed, times, parallel  int
+	busy                   int
+	stop                   time.Duration
+}
+
+func (a *app) baddayCommand() *cobra.Command {
+	var f baddayFlags
+	c := &cobra.Command{
+		Use: "badday [SCRIPT]", Short: "play a bad day on loopback and check the rules on its traffic", Args: cobra.MaximumNArgs(1),
+		Long: "badday plays a script: a fleet on loopback sockets, clients with load, and troubles at their times. The five\n" +
+			"rules are then checked on what crossed the sockets. --repeat plays it again and again, each time with the next\n" +
+			"seed and in a process of its own; --replay steps a placer's core once more through what one of its lives was\n" +
+			"given, and checks that it says the same.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			name := ""
+			if len(args) > 0 {
+				name = args[0]
+			}
+			if f.replay != "" {
+				return a.replayTape(f.replay)
+			}
+			s, err := readScript(name, script.Default)
+			if err != nil {
+				return err
+			}
+			if cmd.Flags().Changed("seed") {
+				s.Seed = f.seed
+			}
+			if f.times > 0 {
+				return a.repeat(cmd.Context(), name, s, &f)
+			}
+			return a.playDay(cmd.Context(), s, &f)
+		},
+	}
+	fl := c.Flags()
+	fl.StringVar(&f.keep, "record", "", "file to keep the record of the traffic in, as JSON lines")
+	fl.StringVar(&f.onBreach, "record-on-breach", "", "folder to keep the record and each placer's tape in, of a day that breaks a rule")
+	fl.StringVar(&f.replay, "replay", "", "tape of a placer's life to play again, off the sockets")
+	fl.IntVar(&f.seed, "seed", 0, "seed of the day (default: the script's)")
+	fl.IntVar(&f.times, "repeat", 0, "play so many days, with this seed and those after it")
+	fl.IntVar(&f.parallel, "parallel", 1, "with --repeat: so many at once")
+	fl.IntVar(&f.busy, "busy", 0, "with --repeat: so many loops beside them that keep processors busy")
+	fl.DurationVar(&f.stop, "stop", 0, "with --repeat: stop each play for up to so long, about once a second")
+	return c
+}
+
+func (a *app) playDay(ctx context.Context, s *script.Script, f *baddayFlags) error {
+	start := time.Now()
+	r, err := badday.Play(ctx, s, badday.Options{Log: a.log, Keep: f.onBreach != "", Begun: func(t script.Trouble) {
+		if a.output == "text" {
+			fmt.Fprintf(a.errs, "%5.1f s  %s\n", time.Since(start).Seconds(), t.Kind)
+		}
+	}})
+	if errors.Is(err, context.Canceled) {
+		return errors.New("interrupted")
+	}
+	if err != nil {
+		return err
+	}
+	if f.keep != "" {
+		var b bytes.Buffer
+		if err := record.Write(&b, r.Record); err != nil {
+			return err
+		}
+		if err := os.WriteFile(f.keep, b.Bytes(), 0o600); err != nil {
+			return badInput(err)
+		}
+	}
+	if !r.OK() && f.onBreach != "" {
+		if err := keepDay(f.onBreach, s, r); err != nil {
+			return err
+		}
+	}
+	if a.output == "json" {
+		if err := a.breaches(&r.Verdict); err != nil {
+			return err
+		}
+		if err := a.json(r); err != nil {
+			return err
+		}
+	} else {
+		r.Write(a.out)
+	}
+	if !r.OK() {
+		return errNo
+	}
+	return nil
+}
+
+func (a *app) breaches(v *rules.Verdict) error {
+	for _, b := range v.Breaches {
+		if err := a.json(map[string]any{"breach": b.Rule.String(), "at": b.At, "text": b.Text}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// keepDay writes all of a day that broke a rule: what is needed to see it again.
+func keepDay(folder string, s *script.Script, r *badday.Result) error {
+	dir := filepath.Join(folder, fmt.Sprintf("seed-%d", s.Seed))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return badInput(err)
+	}
+	var events bytes.Buffer
+	if err := record.Write(&events, r.Record); err != nil {
+		return err
+	}
+	verdict, err := json.MarshalIndent(map[string]any{"result": r, "breaches": r.Verdict.Breaches}, "", "  ")
+	if err != nil {
+		return err
+	}
+	files := map[string][]byte{"script.sexp": s.Text, "record.jsonl": events.Bytes(), "verdict.json": verdict}
+	for _, l := range r.Tapes {
+		text, err := l.Bytes()
+		if err != nil && !errors.Is(err, tape.ErrFull) {
+			return fmt.Errorf("tape of placer %d: %w", l.Placer, err)
+		}
+		files[fmt.Sprintf("placer-%d-life-%d.tape", l.Placer, l.Life)] = text
+	}
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
+			return badInput(err)
+		}
+	}
+	return nil
+}
+
+// repeat plays a day many times.
+func (a *app) repeat(ctx context.Context, name string, s *script.Script, f *baddayFlags) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	r := badday.Repeat{
+		Times: f.times, Parallel: f.parallel, Seed: s.Seed, Busy: f.busy, Stop: f.stop,
+		Command: func(seed int) []string {
+			words := []string{self, "badday", "--output", "json", "--log", "error", "--seed", strconv.Itoa(seed)}
+			if f.onBreach != "" {
+				words = append(words, "--record-on-breach", f.onBreach)
+			}
+			if name != "" {
+				words = append(words, name)
+			}
+			return words
+		},
+		Done: func(p badday.Played) {
+			if a.output == "json" {
+				_ = a.json(p)
+			} else {
+				fmt.Fprintf(a.out, "seed %d: exit %d, %d breaches told %s\n", p.Seed, p.Code, len(p.Breach), p.Error)
+			}
+		},
+	}
+	t := r.Run(ctx)
+	if a.output == "json" {
+		err = a.json(t)
+	} else {
+		_, err = fmt.Fprintf(a.out, "%d plays, %d broken, %d not played to the end; %d tasks, %d offers; %d breaches, %d vetoes, %d defects\n",
+			t.Plays, t.Broken, t.Failed, t.Tasks, t.Offers, t.Breaches, t.Vetoes, t.Defects)
+	}
+	switch {
+	case err != nil:
+		return err
+	case t.Broken > 0:
+		return errNo
+	case t.Failed > 0 || ctx.Err() != nil:
+		return fmt.Errorf("%d of %d plays were not played to the end", t.Failed+f.times-t.Plays, f.times)
+	}
+	return nil
+}
+
+// replayTape plays a tape and tells whether the core said the same, and what rules it broke.
+func (a *app) replayTape(name string) error {
+	text, err := file(name)
+	if err != nil {
+		return err
+	}
+	var places []record.Event
+	p, err := tape.Play(bytes.NewReader(text), func(s *tape.Step, _ []core.Output) { places = append(places, tape.Places(s.In)...) })
+	if err != nil {
+		return badInput(fmt.Errorf("%s: %w", name, err))
+	}
+	host := p.Script.Host
+	v := rules.Check(append(places, p.Events...), rules.FactsOf(p.Script.Settings, float64(host.Starts)/host.Start.Seconds()))
+	counts := map[string]int{}
+	for rule := guard.OneAnswer; rule <= guard.Spread; rule++ {
+		counts[rule.String()] = v.Counts[rule]
+	}
+	if a.output == "json" {
+		if err := a.breaches(&v); err != nil {
+			return err
+		}
+		if err := a.json(map[string]any{"replay": p, "placer": p.Head.Placer, "epoch": p.Head.Epoch, "rules": counts}); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(a.out, "placer %d: %d steps, %d offers, %d vetoes, %d defects\n", p.Head.Placer, p.Steps, p.Offers, p.Vetoes, p.Defects)
+		if p.Cut {
+			fmt.Fprintln(a.out, "the tape ends in the middle of a step")
+		}
+		if d := p.Diverged; d != nil {
+			fmt.Fprintf(a.out, "step %d parts from the tape:\n  tape: %s\n  now:  %s\n", d.Step, d.Want, d.Got)
+		} else {
+			fmt.Fprintln(a.out, "the core said the same at every step")
+		}
+		for _, b := range v.Breaches {
+			fmt.Fprintf(a.out, "  %v: %s\n", b.Rule, b.Text)
+		}
+	}
+	if p.Diverged != nil || !v.OK() {
+		return errNo
+	}
+	return nil
+}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -1,24 +1,20 @@
 package cli
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"forkhead/internal/badday"
 	"forkhead/internal/catalogued"
 	"forkhead/internal/clock"
 	"forkhead/internal/hostd"
 	"forkhead/internal/netio"
 	"forkhead/internal/placerd"
-	"forkhead/internal/record"
 	"forkhead/internal/scene"
 	"forkhead/internal/script"
 	"forkhead/internal/settings"
@@ -325,59 +321,3 @@
 	}
 	fmt.Fprintf(a.out, "%s: good%s\n", name, what)
 }
-
-func (a *app) baddayCommand() *cobra.Command {
-	var keep string
-	c := &cobra.Command{
-		Use: "badday [SCRIPT]", Short: "play a bad day on loopback and check the rules on its traffic", Args: cobra.MaximumNArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			name := ""
-			if len(args) > 0 {
-				name = args[0]
-			}
-			s, err := readScript(name, script.Default)
-			if err != nil {
-				return err
-			}
-			start := time.Now()
-			r, err := badday.Play(cmd.Context(), s, badday.Options{Log: a.log, Begun: func(t script.Trouble) {
-				if a.output == "text" {
-					fmt.Fprintf(a.errs, "%5.1f s  %s\n", time.Since(start).Seconds(), t.Kind)
-				}
-			}})
-			if errors.Is(err, context.Canceled) {
-				return errors.New("interrupted")
-			}
-			if err != nil {
-				return err
-			}
-			if keep != "" {
-				f, err := os.Create(keep)
-				if err != nil {
-					return badInput(err)
-				}
-				if err := errors.Join(record.Write(f, r.Record), f.Close()); err != nil {
-					return err
-				}
-			}
-			if a.output == "json" {
-				for _, b := range r.Verdict.Breaches {
-					if err := a.json(map[string]any{"breach": b.Rule.String(), "at": b.At, "text": b.Text}); err != nil {
-						return err
-					}
-				}
-				if err := a.json(r); err != nil {
-					return err
-				}
-			} else {
-				r.Write(a.out)
-			}
-			if !r.OK() {
-				return errNo
-			}
-			return nil
-		},
-	}
-	c.Flags().StringVar(&keep, "record", "", "file to keep the record of the traffic in, as JSON lines")
-	return c
-}
--- a/internal/cli/explore.go
+++ b/internal/cli/explore.go
@@ -182,10 +182,12 @@
 		go func() {
 			defer wait.Done()
 			for i := next.Add(1) - 1; i < int64(n) && ctx.Err() == nil; i = next.Add(1) - 1 {
-				if err := lives.Check(from + uint64(i)); err != nil {
-					mu.Lock()
-					failed = append(failed, err.Error())
-					mu.Unlock()
+				for _, mix := range lives.Mixes {
+					if err := lives.Check(mix, from+uint64(i)); err != nil {
+						mu.Lock()
+						failed = append(failed, mix.Name+" "+err.Error())
+						mu.Unlock()
+					}
 				}
 				if d := done.Add(1); d%1000 == 0 {
 					fmt.Fprintf(a.errs, "%d lives\n", d)
@@ -196,14 +198,14 @@
 	wait.Wait()
 	slices.Sort(failed)
 	if a.output == "json" {
-		if err := a.json(map[string]any{"lives": done.Load(), "from": from, "failed": append([]string{}, failed...)}); err != nil {
+		if err := a.json(map[string]any{"lives": done.Load() * int64(len(lives.Mixes)), "from": from, "failed": append([]string{}, failed...)}); err != nil {
 			return err
 		}
 	} else {
 		for _, f := range failed {
 			fmt.Fprintln(a.out, f)
 		}
-		fmt.Fprintf(a.out, "%d lives, %d went wrong\n", done.Load(), len(failed))
+		fmt.Fprintf(a.out, "%d lives, %d went wrong\n", done.Load()*int64(len(lives.Mixes)), len(failed))
 	}
 	if len(failed) > 0 {
 		return errNo
--- a/internal/core/projects.go
+++ b/internal/core/projects.go
@@ -692,19 +692,23 @@
 	w := svc.wishes[replica]
 	if w != nil && !svc.fostered {
 		wanted := (w.state == waiting || w.state == heldBack || w.state == asking) && !w.removing
-		if !attempt.Adopts(wanted, w.ask != nil && w.ask.IsOut()) || w.key|1 != spec.Key|1 {
+		if w.key|1 != spec.Key|1 {
 			c.send(h, hostproto.Stop{Ref: held.Ref})
 			return
 		}
+		if !attempt.Adopts(wanted, w.ask != nil && w.ask.IsOut()) {
+			c.unwanted(w, h, held)
+			return
+		}
 		same := w.fingerprint == spec.Fingerprint
-		c.adopt(w, h, held.Ref, h.link.Epoch, h.link.Conn)
+		c.adopt(w, h, held.Ref, h.link.Epoch, h.link.Conn, c.rules(class))
 		if !same {
 			c.log("%s runs on %s as an earlier make; submit the project again to replace it", w.name, h.name)
 		}
 		return
 	}
 	if w != nil {
-		c.send(h, hostproto.Stop{Ref: held.Ref})
+		c.unwanted(w, h, held)
 		return
 	}
 	// The description is lost: what the host knows of the task stands for it.
@@ -721,5 +725,23 @@
 	}
 	svc.wishes[replica] = w
 	c.wishes++
-	c.adopt(w, h, held.Ref, h.link.Epoch, h.link.Conn)
+	c.adopt(w, h, held.Ref, h.link.Epoch, h.link.Conn, c.rules(class))
+}
+
+// unwanted stops what a host has run since an earlier life and its task no longer needs. Until the
+// host says that it is over it may run, whether the Stop arrives or not: what must not run twice is
+// not begun before. Guards against a Stop that is lost with its connection, found by random lives.
+func (c *Core) unwanted(w *wish, h *host, held *hostproto.Held) {
+	k := c.newAsk(w)
+	k.Answer = attempt.Gave
+	// It began nobody knows when: no window of its key is left.
+	k.Attempts = []attempt.Attempt{{Host: attempt.Host(h.id), Phase: attempt.Unknown, At: c.now - k.Rules.Window}}
+	t := &try{ask: k, host: h, machine: h.id, ref: held.Ref, hostEpoch: h.link.Epoch, conn: h.link.Conn}
+	k.tries = []*try{t}
+	c.index(t)
+	if c.unknown[w.key] == nil {
+		c.unknown[w.key] = map[*try]bool{}
+	}
+	c.unknown[w.key][t] = true
+	c.send(h, hostproto.Stop{Ref: held.Ref})
 }
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -36,6 +36,7 @@
 	hostEpoch uint64 // the host's life in which it was written
 	conn      uint32 // the connection on which it was written
 	runs      bool
+	waited    bool // for its host's connection
 	moving    bool // stopped by the module, to be placed anew
 }
 
@@ -140,6 +141,12 @@
 		c.veto(&guard.Veto{Rule: guard.OneAnswer, Why: "no such ask or host"}, "offer of task %d to machine %d", a.Task, a.Machine)
 		return
 	}
+	if c.harmful(k) {
+		n := k.Skip(c.now, attempt.Host(h.id))
+		k.tries = append(k.tries, nil)
+		c.tell(forkhead.Outcome{Task: a.Task, Attempt: n, Machine: a.Machine, Result: forkhead.Moot})
+		return
+	}
 	v := guard.MayOffer(c.now, &guard.Offer{
 		Ask: &k.Ask, Task: &k.task, Class: &c.set.Module.Classes[k.task.Class], To: h.guard(), Grace: c.set.Module.DrainGrace,
 		Hosts: func(id attempt.Host) *guard.Host {
@@ -153,13 +160,7 @@
 			}
 			return nil
 		},
-		Others: func(yield func(*guard.Host) bool) {
-			for _, t := range c.live[k.task.Service] {
-				if !yield(t.host.guard()) {
-					return
-				}
-			}
-		},
+		Others: c.others(k.task.Service, nil),
 	})
 	if v != nil {
 		c.veto(v, "offer of %s to %s", k.wish.name, h.name)
@@ -183,10 +184,22 @@
 	case h.link.State == hostlink.Down:
 		c.input(t, attempt.Broke, detail{})
 	default:
+		t.waited = true
 		c.at(&timer{at: c.now + c.set.Module.ConnectTimeout, kind: timerConnect, try: t})
 	}
 }
 
+// others runs over the hosts of a service's live attempts but one.
+func (c *Core) others(service uint64, but *try) func(yield func(*guard.Host) bool) {
+	return func(yield func(*guard.Host) bool) {
+		for _, t := range c.live[service] {
+			if t != but && !yield(t.host.guard()) {
+				return
+			}
+		}
+	}
+}
+
 func (c *Core) index(t *try) {
 	t.host.tries[t.ref], c.refs[t.ref] = t, t
 	if t.phase().Live() {
@@ -198,11 +211,20 @@
 // write sends an offer that waited for its connection, if it still may be sent.
 func (c *Core) write(t *try) {
 	k, h := t.ask, t.host
-	if guard.Drained(c.now, h.state(), h.since, c.set.Module.DrainGrace) || k.MayWrite(c.now, t.number) != nil {
+	if guard.Drained(c.now, h.state(), h.since, c.set.Module.DrainGrace) || k.MayWrite(c.now, t.number) != nil || c.harmful(k) {
 		// Guards against a drain told between choosing and writing, and a wait that was too long.
 		c.input(t, attempt.Broke, detail{})
 		return
 	}
+	if t.waited && (h.drains || guard.Crowded(&guard.Offer{
+		Task: &k.task, Class: &c.set.Module.Classes[k.task.Class], To: h.guard(), Others: c.others(k.task.Service, t),
+	}) != nil) {
+		// Guards against tasks of an earlier life that turned up while this one waited for its
+		// connection: they count against the spread, and the choice was made without them. And
+		// against a host that greets as draining: it may have said so before it was forgotten.
+		c.input(t, attempt.Broke, detail{})
+		return
+	}
 	t.hostEpoch, t.conn = h.link.Epoch, h.link.Conn
 	c.input(t, attempt.Written, detail{})
 	w := k.wish
@@ -430,22 +452,23 @@
 		c.send(t.host, hostproto.Stop{Ref: t.ref, Grace: w.grace()})
 		return
 	}
-	h, ref, epoch, conn := t.host, t.ref, t.hostEpoch, t.conn
+	h, ref, epoch, conn, made := t.host, t.ref, t.hostEpoch, t.conn, t.ask.Rules
 	c.input(t, attempt.Adopted, detail{})
 	if w.state == placed { // settling it let another attempt go ahead
 		c.send(h, hostproto.Stop{Ref: ref, Grace: w.grace()})
 		return
 	}
-	c.adopt(w, h, ref, epoch, conn)
+	c.adopt(w, h, ref, epoch, conn, made)
 }
 
-// adopt takes a task that already runs as the placement of its wish.
-func (c *Core) adopt(w *wish, h *host, ref hostproto.Ref, epoch uint64, conn uint32) {
+// adopt takes a task that already runs as the placement of its wish. made are the rules of the class
+// that it was started as: they go on holding for it where its owner has named another since.
+func (c *Core) adopt(w *wish, h *host, ref hostproto.Ref, epoch uint64, conn uint32, made attempt.Rules) {
 	if w.ask != nil {
 		c.abandon(w)
 	}
 	k := c.newAsk(w)
-	k.Answer = attempt.Bound
+	k.Answer, k.Rules = attempt.Bound, made
 	k.Attempts = []attempt.Attempt{{Host: attempt.Host(h.id), Phase: attempt.Placed, At: c.now}}
 	t := &try{ask: k, host: h, machine: h.id, ref: ref, hostEpoch: epoch, conn: conn, runs: true}
 	k.tries = []*try{t}
@@ -580,6 +603,18 @@
 	return !ok
 }
 
+// harmful says whether an attempt of another ask that may run forbids to send one of this ask now.
+// Guards against what turns up after the ask began: a host that tells late what it runs.
+func (c *Core) harmful(k *ask) bool {
+	for t := range c.unknown[k.wish.key] {
+		if t.ask != k && (k.Rules.Effect == forkhead.Unsafe ||
+			k.Rules.Effect == forkhead.Keyed && c.now >= t.ask.Attempts[t.number].At+k.Rules.Window) {
+			return true
+		}
+	}
+	return false
+}
+
 // gate is until when a new life waits to hear from all hosts before it starts what must not be
 // started twice.
 func (c *Core) gate() time.Duration {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -104,6 +104,13 @@
 	if missing := o.Task.Needs &^ o.To.Labels; missing != 0 {
 		return &Veto{Fit, "the host does not meet the task's constraints"}
 	}
+	return Crowded(o)
+}
+
+// Crowded returns nil or the Veto for what the offer would add to its service's tasks in one place.
+// It is judged when the offer is chosen, and again when one that waited for its connection can be
+// written: tasks of an earlier life may have turned up meanwhile.
+func Crowded(o *Offer) *Veto {
 	limits := o.Task.Most
 	if o.Class.Spread != forkhead.Anywhere && (limits[o.Class.Spread] == 0 || o.Class.Most < limits[o.Class.Spread]) {
 		limits[o.Class.Spread] = o.Class.Most
--- a/internal/lives/lives.go
+++ b/internal/lives/lives.go
@@ -21,23 +21,42 @@
 func (single) Fatalf(format string, args ...any) { panic(failure{fmt.Sprintf(format, args...)}) }
 
 // Check plays one life and returns what went wrong in it, or nil.
-func Check(seed uint64) (err error) {
+func Check(mix Mix, seed uint64) (err error) {
 	defer func() {
 		if f, ok := recover().(failure); ok {
 			err = fmt.Errorf("life %d: %s", seed, f.text)
 		}
 	}()
-	Play(single{}, seed)
+	Play(single{}, mix, seed)
 	return nil
 }
 
+// Mix says what lives are made of.
+type Mix struct {
+	Name    string
+	classes []string
+	more    string // settings
+	kill    int    // the placer is killed at one in so many of its turns
+}
+
+// Mixes are all of them. Ordinary ones have every class; of Spread ones nearly all is bound to
+// racks, and the placer is killed often.
+var (
+	Ordinary = Mix{"ordinary", []string{"web", "keyed", "cell", "ledger", "ledger", "batch"}, "", 6}
+	Spread   = Mix{"spread", []string{"listing", "listing", "listing", "batch", "books"}, `
+		(class listing (effect keyed) (window 8s) (wait 2s) (patience 6s) (spread rack 2))
+		(class books (effect unsafe) (wait 2s) (patience 20s) (spread machine 2))`, 2}
+	Mixes = []Mix{Ordinary, Spread}
+)
+
 // Play plays a life at random: projects come, change and go while hosts die, vanish, drain and
 // come back, frames are lost with their connections, and the placer is killed; the real module
 // decides. It fails t on a veto, a defect, two outcomes of a task or none in time, two starts of an
-// unsafe task side by side, or tables that are not empty when all is gone.
-func Play(t TB, seed uint64) {
+// unsafe task side by side, a rule broken by what crossed its sockets, or tables that are not empty
+// when all is gone.
+func Play(t TB, mix Mix, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 77))
-	s := New(t, Settings(t, "(owner (first 200ms) (wait 20s)) (cold (for 2s) (window 500ms) (offers 12))"), 4+rng.IntN(5))
+	s := New(t, Settings(t, "(owner (first 200ms) (wait 20s)) (cold (for 2s) (window 500ms) (offers 12))"+mix.more), 4+rng.IntN(5))
 	s.Delay = time.Duration(1+rng.IntN(30)) * time.Millisecond
 	lossy := rng.Float64() * 0.02
 	drop := func(host string, _ hostproto.Frame) bool {
@@ -60,7 +79,7 @@
 		case 0, 1, 2, 3:
 			names++
 			text := fmt.Sprintf("name: p%d\nservices:\n  a: {x-forkhead: {class: %s, life: %dms}, deploy: {replicas: %d, restart_policy: {condition: on-failure}, resources: {reservations: {cpus: '%.1f'}}}}\n",
-				rng.IntN(names+1)%6, []string{"web", "keyed", "cell", "ledger", "ledger", "batch"}[rng.IntN(6)], 500+rng.IntN(6000), 1+rng.IntN(6), 0.2+rng.Float64()*2)
+				rng.IntN(names+1)%6, mix.classes[rng.IntN(len(mix.classes))], 500+rng.IntN(6000), 1+rng.IntN(6), 0.2+rng.Float64()*2)
 			if rng.IntN(4) == 0 {
 				text += fmt.Sprintf("  b: {x-forkhead: {near: {a: %s}, life: 3s}, deploy: {replicas: %d, restart_policy: {condition: on-failure}}}\n",
 					[]string{"machine", "rack", "zone"}[rng.IntN(3)], 1+rng.IntN(3))
@@ -94,7 +113,7 @@
 		case 10:
 			s.List()
 		case 11:
-			if rng.IntN(6) == 0 {
+			if rng.IntN(mix.kill) == 0 {
 				s.Restart()
 			}
 		case 12:
@@ -165,7 +184,7 @@
 			continue
 		}
 		for _, spec := range h.Life.Holding() {
-			if spec.Class != "ledger" {
+			if spec.Class != "ledger" && spec.Class != "books" {
 				continue
 			}
 			if other := held[spec.Key]; other != "" {
--- a/internal/lives/lives_test.go
+++ b/internal/lives/lives_test.go
@@ -15,7 +15,10 @@
 	// update that waited for good for one of its tasks, a stop that was called for too early.
 	which = append(which, 1126, 3490, 5312, 1739, 669, 744, 957, 1605, 1746, 1902, 2119, 2581, 2793, 3399, 3788)
 	for _, seed := range which {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { Play(t, uint64(seed)) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { Play(t, Ordinary, uint64(seed)) })
+	}
+	for seed := range 60 {
+		t.Run(fmt.Sprint("spread/", seed), func(t *testing.T) { Play(t, Spread, uint64(seed)) })
 	}
 }
 
--- a/internal/lives/sim.go
+++ b/internal/lives/sim.go
@@ -15,8 +15,11 @@
 	"forkhead/internal/core"
 	"forkhead/internal/description"
 	"forkhead/internal/hostproto"
+	"forkhead/internal/record"
+	"forkhead/internal/rules"
 	"forkhead/internal/settings"
 	"forkhead/internal/standin"
+	"forkhead/internal/tape"
 )
 
 // Sim runs one placer's core against stand-in hosts on a clock of its own. Frames cross as
@@ -43,6 +46,7 @@
 	ToHost   func(host string, f hostproto.Frame) bool // false: the frame is lost, to the host
 	FromHost func(host string, f hostproto.Frame) bool // and from it
 	Epoch    uint64
+	Record   []record.Event // what crossed the placer's own sockets
 }
 
 // TB is as much of testing.TB as a Sim needs.
@@ -177,11 +181,24 @@
 // Step gives the core inputs and carries out what it says.
 func (s *Sim) Step(in ...core.Input) {
 	c := s.Core
-	for _, o := range c.Step(s.Now, in...) {
+	out := c.Step(s.Now, in...)
+	base := record.Event{Near: true, Placer: s.Settings.Module.Self, PlacerEpoch: s.Epoch}
+	s.Record = append(s.Record, tape.Events(base, s.Now, 0, in, out)...)
+	for _, o := range out {
 		s.carry(c, o)
 	}
 }
 
+// Verdict judges what has crossed the placer's sockets by the rules.
+func (s *Sim) Verdict() rules.Verdict {
+	events := make([]record.Event, 0, len(s.Names)+len(s.Record))
+	for _, name := range s.Names {
+		cfg := &s.Hosts[name].Config
+		events = append(events, record.Event{What: record.HostUp, Host: name, Zone: cfg.Zone, Rack: cfg.Rack})
+	}
+	return rules.Check(append(events, s.Record...), rules.FactsOf(s.Settings, 0))
+}
+
 func (s *Sim) carry(c *core.Core, o core.Output) {
 	alive := func(do func()) func() {
 		return func() {
@@ -439,6 +456,9 @@
 	if st := s.Core.Status(); st.Vetoes > 0 {
 		s.t.Fatalf("vetoes: %v", st.ByRule)
 	}
+	if v := s.Verdict(); !v.OK() {
+		s.t.Fatalf("breaches: %v", v.Breaches)
+	}
 }
 
 // Running counts the tasks that hosts hold.
--- a/internal/rules/near.go
+++ b/internal/rules/near.go
@@ -106,6 +106,16 @@
 	r := nearRef(refOf(e))
 	s := n.seats[r]
 	switch e.What {
+	case record.Held, record.Accepted, record.Running, record.Refused, record.Ended, record.Drain:
+		if h := n.host(e.Host); !h.up || e.Conn != h.conn {
+			return // before Welcome, or of a connection that is over: a host that is not known says it
+		}
+	case record.Welcome:
+		if h := n.host(e.Host); e.Conn != h.conn || e.Epoch < h.life {
+			return
+		}
+	}
+	switch e.What {
 	case record.Told:
 		n.told(e)
 	case record.Hello:
--- a/internal/tape/tape.go
+++ b/internal/tape/tape.go
@@ -107,7 +107,8 @@
 
 // Bytes ends the tape and returns it, with the error that cut it short.
 func (w *Writer) Bytes() ([]byte, error) {
-	return w.buf.Bytes(), errors.Join(w.zip.Close(), w.err)
+	err := w.zip.Close() // before the bytes are looked at: it writes the last of them
+	return w.buf.Bytes(), errors.Join(err, w.err)
 }
 
 // Divergence is the first step at which the core said something else than on the tape.
