--- a/design_test.go
+++ b/design_test.go
@@ -262,7 +262,7 @@
 		}
 		return text
 	}
-	if run() != run() {
+	if first, again := run(), run(); first != again {
 		t.Error("the same events gave different actions")
 	}
 }
--- a/internal/cli/badday.go
+++ b/internal/cli/badday.go
@@ -198,7 +198,7 @@
 
 // replayTape plays a tape and tells whether the core said the same, and what rules it broke.
 func (a *app) replayTape(name string) error {
-	text, err := file(name)
+	text, err := file(name, "a tape that badday --record-on-breach has kept")
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -115,8 +115,15 @@
 	return err
 }
 
-// file reads a file of the user's.
-func file(name string) ([]byte, error) {
+// file reads a file of the user's. want says what is looked for in it, where it cannot be read.
+func file(name, want string) ([]byte, error) {
 	text, err := os.ReadFile(name)
-	return text, badInput(err)
+	if err != nil {
+		return nil, unreadable(err, want)
+	}
+	return text, nil
+}
+
+func unreadable(err error, want string) error {
+	return badInput(fmt.Errorf("%w; want a file that can be read, with %s", err, want))
 }
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -28,7 +28,7 @@
 	if name == "" {
 		return settings.Read("default settings", settings.Default)
 	}
-	text, err := file(name)
+	text, err := file(name, "settings: (forkhead ...)")
 	if err != nil {
 		return nil, err
 	}
@@ -39,7 +39,7 @@
 	if name == "" {
 		return script.Read("built-in script", preset)
 	}
-	text, err := file(name)
+	text, err := file(name, "a script: (badday ...)")
 	if err != nil {
 		return nil, err
 	}
@@ -255,7 +255,7 @@
 			var rest []string
 			errs := &source.List{}
 			for _, name := range names {
-				text, err := file(name)
+				text, err := file(name, "settings, a script or a Compose description")
 				if err != nil {
 					return err
 				}
--- a/internal/cli/describe.go
+++ b/internal/cli/describe.go
@@ -46,7 +46,7 @@
 		text, err := os.ReadFile(name)
 		if err != nil {
 			if must {
-				return badInput(err)
+				return unreadable(err, "a Compose description")
 			}
 			return nil // the parser says who named it
 		}
--- a/internal/cli/explore.go
+++ b/internal/cli/explore.go
@@ -75,9 +75,9 @@
 				}
 				cfg.Cycles = cfg.Cycles || p.Property == "liveness"
 				// Enough for it to show, unless told otherwise.
-				for name, to := range map[string]*int{"faults": &cfg.Faults, "tasks": &cfg.Tasks, "asks": &cfg.Asks, "hosts": &cfg.Hosts} {
+				for name, to := range map[string]*int{"faults": &cfg.Faults, "tasks": &cfg.Tasks, "asks": &cfg.Asks, "hosts": &cfg.Hosts, "spread": &cfg.Spread} {
 					if !cmd.Flags().Changed(name) {
-						*to = map[string]int{"faults": p.Faults, "tasks": 1, "asks": 2, "hosts": 3 - p.Faults}[name]
+						*to = map[string]int{"faults": p.Faults, "tasks": 1 + p.Spread, "asks": 2, "hosts": 3 - p.Faults, "spread": p.Spread}[name]
 					}
 				}
 			}
@@ -103,6 +103,7 @@
 	f.IntVar(&cfg.Faults, "faults", 1, "connections cut, hosts that die or drain, crashes of the placer, all together")
 	f.BoolVar(&cfg.Ends, "ends", false, "tasks may end by themselves")
 	f.BoolVar(&cfg.Cycles, "cycles", false, "look for fair steps that lead round in a circle, too (more memory)")
+	f.IntVar(&cfg.Spread, "spread", 0, "all tasks are of one service, of which a host may have so many; 0: no limit")
 	f.IntVar(&cfg.Workers, "workers", 0, "goroutines (default: one a processor)")
 	f.IntVar(&cfg.MostStates, "most", 0, "stop behind so many states (default: 100 million, about 8 GiB)")
 	f.StringVar(&cfg.Plant, "plant", "", "a bug to plant")
@@ -134,7 +135,7 @@
 
 // replay plays a trace through the real core.
 func (a *app) replay(name string) error {
-	text, err := file(name)
+	text, err := file(name, "a trace that explore has written")
 	if err != nil {
 		return err
 	}
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -9,9 +9,11 @@
 	"github.com/spf13/cobra"
 
 	"forkhead/internal/planning/plan"
+	"forkhead/internal/planning/shares"
 	"forkhead/internal/planning/solve"
 	"forkhead/internal/proving/solvecheck"
 	"forkhead/internal/reading/description"
+	"forkhead/internal/reading/settings"
 )
 
 func (a *app) planCommand() *cobra.Command {
@@ -21,29 +23,33 @@
 	var move, cross int64
 	var home string
 	var selfcheck int
+	var parts bool
 	c := &cobra.Command{
 		Use: "plan --hosts HOSTS FILE...", Short: "work out placements ahead, or what conflicts where there are none", Args: cobra.ArbitraryArgs,
 		RunE: func(cmd *cobra.Command, names []string) error {
 			if selfcheck > 0 {
 				return a.selfcheck(selfcheck)
 			}
-			if hosts == "" || len(names) == 0 {
-				return badInput(fmt.Errorf("plan wants --hosts HOSTS and at least one FILE, or --selfcheck N"))
+			if hosts == "" || len(names) == 0 && !parts {
+				return badInput(fmt.Errorf("plan wants --hosts HOSTS and at least one FILE or --shares, or --selfcheck N"))
 			}
 			s, err := readSettings(config)
 			if err != nil {
 				return err
 			}
 			q := &plan.Question{Settings: s, Move: move, Home: home, Cross: cross}
-			text, err := file(hosts)
+			text, err := file(hosts, `the fleet as {"hosts":[{"id":...}]}`)
 			if err != nil {
 				return err
 			}
 			if q.Hosts, err = plan.ReadHosts(hosts, text); err != nil {
 				return badInput(err)
 			}
+			if parts {
+				return a.shares(s, q.Hosts)
+			}
 			if running != "" {
-				if text, err = file(running); err != nil {
+				if text, err = file(running, `what runs as {"running":[{"service":...}]}`); err != nil {
 					return err
 				}
 				if q.Running, err = plan.ReadRunning(running, text); err != nil {
@@ -75,10 +81,57 @@
 	c.Flags().Int64Var(&move, "move", 1, "cost of a move, in the hosts' unit")
 	c.Flags().StringVar(&home, "home", "", "a zone that tasks should be in")
 	c.Flags().Int64Var(&cross, "cross", 1, "cost of each task outside --home")
+	c.Flags().BoolVar(&parts, "shares", false, "print each tenant's part of the fleet's cores at each placer, by the settings' shares")
 	c.Flags().IntVar(&selfcheck, "selfcheck", 0, "compare the solver with brute force on so many random instances")
 	return c
 }
 
+// shares tells each tenant's part at each placer. Each placer of the settings has the same weight.
+func (a *app) shares(s *settings.Settings, hosts []plan.Host) error {
+	total := 0.0
+	for i := range hosts {
+		if h := &hosts[i]; h.State == "" || h.State == "ready" || h.State == "cold" {
+			total += h.Cores
+		}
+	}
+	var tenants []shares.Tenant
+	for i, name := range s.Tenants {
+		tenants = append(tenants, shares.Tenant{Name: name, Share: uint64(s.Module.Tenants[i].Share*1e6 + 0.5)})
+	}
+	var placers []shares.Part
+	for i, p := range s.Placers {
+		placers = append(placers, shares.Part{Name: fmt.Sprintf("%d (%s)", i, p.Zone), Weight: 1})
+	}
+	t, err := shares.Of(int64(total*1000+0.5), tenants, placers, nil)
+	if err != nil {
+		return badInput(err)
+	}
+	if a.output == "json" {
+		for i, name := range t.Tenants {
+			for j := range t.Placers {
+				if err := a.json(map[string]any{"tenant": name, "placer": j, "cores": float64(t.Parts[i][j]) / 1000}); err != nil {
+					return err
+				}
+			}
+		}
+		return a.json(map[string]any{"cores": total, "free": float64(t.Free) / 1000})
+	}
+	w := tabwriter.NewWriter(a.out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "TENANT\tPLACER "+strings.Join(t.Placers, "\tPLACER ")+"\t")
+	for i, name := range t.Tenants {
+		fmt.Fprint(w, name)
+		for _, part := range t.Parts[i] {
+			fmt.Fprintf(w, "\t%.3f", float64(part)/1000)
+		}
+		fmt.Fprintln(w, "\t")
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(a.out, "%.3f cores in all, %.3f of them nobody's\n", total, float64(t.Free)/1000)
+	return err
+}
+
 func (a *app) selfcheck(n int) error {
 	start := time.Now()
 	feasible, err := solvecheck.Compare(1, n, solve.Options{})
--- a/internal/planning/plan/plan.go
+++ b/internal/planning/plan/plan.go
@@ -82,6 +82,9 @@
 	return source.Pos{File: file, Line: 1 + bytes.Count(before, []byte("\n")), Col: len(before) - bytes.LastIndexByte(before, '\n')}
 }
 
+// mostMemory is the most that a host has, in GiB.
+const mostMemory = 1e6
+
 // ReadHosts reads {"hosts":[...]}.
 func ReadHosts(file string, data []byte) ([]Host, error) {
 	var in struct {
@@ -92,13 +95,18 @@
 	}
 	errs := &source.List{}
 	seen := map[string]bool{}
+	large := 0 // hosts whose memory can only be in another unit
 	for i := range in.Hosts {
 		h := &in.Hosts[i]
 		pos := source.Pos{File: file}
 		switch {
+		case h.Memory > mostMemory && h.ID != "" && !seen[h.ID]:
+			if large++; large == 1 {
+				errs.Add(source.Wantf(pos, "memory in GiB, from 0 to 10^6", "host %s has %g GiB of memory, which looks like another unit", h.ID, h.Memory))
+			}
 		case h.ID == "" || seen[h.ID]:
 			errs.Add(source.Wantf(pos, "an id of its own", "host %d has id %q", i, h.ID))
-		case !(h.Cores >= 0 && h.Cores <= 1e6) || !(h.Memory >= 0 && h.Memory <= 1e6):
+		case !(h.Cores >= 0 && h.Cores <= 1e6) || !(h.Memory >= 0):
 			errs.Add(source.Wantf(pos, "0 to 10^6", "host %s has %g cores and %g GiB", h.ID, h.Cores, h.Memory))
 		case h.Cost < 0 || h.Cost > 1<<40:
 			errs.Add(source.Wantf(pos, "0 to 2^40", "host %s has cost %d", h.ID, h.Cost))
@@ -113,6 +121,9 @@
 			h.Attrs[description.Attribute("label."+k)] = v
 		}
 	}
+	if large > 1 {
+		errs.Add(source.Errorf(source.Pos{File: file}, "%d more hosts have such memory", large-1))
+	}
 	return in.Hosts, errs.Err()
 }
 
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -85,7 +85,6 @@
 	fields int // bytes of fields so far
 	blank  bool
 	length bool // a Content-Length came
-	size   int
 	err    *Error
 	expect bool
 }
@@ -415,7 +414,7 @@
 			return refuse(400, "a chunk extension has a control character")
 		}
 	}
-	n, ok := digits(strings.TrimRight(size, " \t"), 16, 8)
+	n, ok := digits(size, 16, 8) // no space behind it: a peer that reads on to the ";" would see another size
 	if !ok {
 		return refuse(400, "a chunk's size is %q", size)
 	}
--- a/internal/protocol/http1/http1_test.go
+++ b/internal/protocol/http1/http1_test.go
@@ -131,11 +131,22 @@
 }
 
 // Whatever is accepted here, net/http reads the same way: nothing can be smuggled between them.
+// A peer that reads a size up to its first space sees another chunk than one that reads on.
+func TestSpaceBehindChunkSize(t *testing.T) {
+	for _, size := range []string{"3 ", "3\t;a=b", "3 ;a=b", " 3"} {
+		ours, err := feed("POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"+size+"\r\nabc\r\n0\r\n\r\n", 13)
+		if len(ours) > 0 || err == nil {
+			t.Errorf("a chunk's size of %q: %d requests, %v", size, len(ours), err)
+		}
+	}
+}
+
 func FuzzAgainstNetHTTP(f *testing.F) {
 	f.Add(get)
 	f.Add("POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nX: y\r\n\r\n")
 	f.Add("POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nxyz" + get)
 	f.Add("POST /b HTTP/1.0\r\nContent-Length: 3\r\nConnection: close, x\r\n\r\nxyz")
+	f.Add("POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0   ;00\r\n\r\n")
 	f.Fuzz(func(t *testing.T, stream string) {
 		ours, _ := feed(stream, 13)
 		theirs := bufio.NewReader(strings.NewReader(stream))
--- a/internal/proving/explore/explore_test.go
+++ b/internal/proving/explore/explore_test.go
@@ -15,13 +15,16 @@
 // planted is the smallest search that shows a plant.
 func planted(p *Plant) Config {
 	cfg := small(p.Effect)
-	cfg.Plant, cfg.Faults = p.Name, p.Faults
+	cfg.Plant, cfg.Faults, cfg.Spread = p.Name, p.Faults, p.Spread
 	if p.Faults > 1 {
 		cfg.Hosts = 1
 	}
 	if p.Property == "liveness" {
 		cfg.Hosts, cfg.Cycles = 1, true
 	}
+	if p.Spread > 0 {
+		cfg.Hosts, cfg.Tasks, cfg.Asks = 1, 2, 1
+	}
 	return cfg
 }
 
@@ -57,6 +60,17 @@
 	}
 }
 
+// The spread is kept over a crash of the placer: two tasks of a service, of which a host may have one.
+func TestSpread(t *testing.T) {
+	for _, effect := range []forkhead.Effect{forkhead.Safe, forkhead.Unsafe} {
+		r, err := Run(Config{Tasks: 2, Hosts: 1, Effect: effect, Asks: 1, Attempts: 1, Faults: 1, Spread: 1})
+		if err != nil || !r.Complete || len(r.Violations) > 0 {
+			t.Errorf("effect %d: %+v, %v", effect, r, err)
+		}
+		t.Logf("effect %d: %d states", effect, r.States)
+	}
+}
+
 // Each planted bug is found, as the property that it breaks.
 func TestPlants(t *testing.T) {
 	for _, p := range Plants {
--- a/internal/proving/explore/machines.go
+++ b/internal/proving/explore/machines.go
@@ -33,6 +33,7 @@
 	keepsLine  bool // a host keeps offers in line when their connection ends
 	anyConn    bool // frames of an older connection are taken for ones of the present
 	askAlways  bool // an owner asks again for good, whatever came of it
+	crowdNot   bool // a task that turned up between choosing and writing is not counted
 	recheckNot bool // a drain told between choosing and writing is not looked for again
 }
 
@@ -66,6 +67,7 @@
 	Effect   forkhead.Effect // of the tasks that show it
 	Faults   int             // that it takes
 	plant    func(*machines)
+	Spread   int // of the search that shows it
 }
 
 func phaseRule(p attempt.Phase, in attempt.Input, to attempt.Phase, what attempt.Effect) func(*machines) {
@@ -88,7 +90,7 @@
 			}
 			return nil
 		}
-	}},
+	}, 0},
 	{"unsafe-repeat", "an unsafe task is offered again in one ask after an attempt that may have run", "no-repeat", forkhead.Unsafe, 1, func(m *machines) {
 		m.mayOffer = func(a *attempt.Ask, now time.Duration, to attempt.Host) error {
 			if err := a.MayOffer(now, to, same); err != attempt.ErrMayRun {
@@ -96,32 +98,34 @@
 			}
 			return nil
 		}
-	}},
+	}, 0},
 	{"window", "a keyed task is offered again after hosts have forgotten its key", "no-repeat", forkhead.Keyed, 1, func(m *machines) {
 		m.mayAsk = func(*attempt.Rules, time.Duration, int, time.Duration) (time.Duration, bool) { return 0, true }
-	}},
+	}, 0},
 	{"promise", "a task that may run is told refused", "promise", forkhead.Unsafe, 1, func(m *machines) {
 		m.harmless = func(*attempt.Rules, bool, bool, int) bool { return true }
-	}},
+	}, 0},
 	{"break-is-never", "an offer whose connection broke is taken never to have run", "no-repeat", forkhead.Unsafe, 1,
-		phaseRule(attempt.Out, attempt.Broke, attempt.Never, attempt.NoConnect)},
+		phaseRule(attempt.Out, attempt.Broke, attempt.Never, attempt.NoConnect), 0},
 	{"call-off-is-never", "an offer that was called off is taken never to have run", "no-repeat", forkhead.Unsafe, 1,
-		phaseRule(attempt.Out, attempt.CalledOff, attempt.Never, attempt.Drop)},
+		phaseRule(attempt.Out, attempt.CalledOff, attempt.Never, attempt.Drop), 0},
 	{"late-bind", "the reply to an attempt that was given up binds it", "one-outcome", forkhead.Safe, 1,
-		phaseRule(attempt.Unknown, attempt.Accepted, attempt.Placed, attempt.Bind)},
+		phaseRule(attempt.Unknown, attempt.Accepted, attempt.Placed, attempt.Bind), 0},
 	{"silent-is-lost", "a task on a host out of reach is taken to have ended", "no-repeat", forkhead.Unsafe, 1,
-		phaseRule(attempt.Placed, attempt.Broke, attempt.Over, attempt.Lose)},
+		phaseRule(attempt.Placed, attempt.Broke, attempt.Over, attempt.Lose), 0},
 	{"no-stray", "an attempt that was given up and shows itself is neither adopted nor stopped", "no-leak", forkhead.Safe, 1,
-		func(m *machines) { m.noStray = true }},
-	{"no-query", "what a host does not list after a break is not asked about", "no-leak", forkhead.Unsafe, 1, func(m *machines) { m.noQuery = true }},
+		func(m *machines) { m.noStray = true }, 0},
+	{"no-query", "what a host does not list after a break is not asked about", "no-leak", forkhead.Unsafe, 1, func(m *machines) { m.noQuery = true }, 0},
 	{"ask-early", "a task is asked for again while an attempt of an earlier ask is unknown", "no-repeat", forkhead.Unsafe, 1, func(m *machines) {
 		m.mayAsk = func(*attempt.Rules, time.Duration, int, time.Duration) (time.Duration, bool) { return 0, true }
-	}},
+	}, 0},
 	{"no-gate", "a new life of the placer does not wait for what hosts run", "no-repeat", forkhead.Unsafe, 1, func(m *machines) {
 		m.waits = func(*attempt.Rules, bool, bool) bool { return false }
-	}},
+	}, 0},
 	{"drain-at-write", "a drain told between choosing and writing is not looked for again", "drain", forkhead.Safe, 2,
-		func(m *machines) { m.recheckNot = true }},
+		func(m *machines) { m.recheckNot = true }, 0},
+	{"crowd-at-write", "a task of an earlier life that turned up between choosing and writing is not counted", "spread", forkhead.Safe, 1,
+		func(m *machines) { m.crowdNot = true }, 1},
 	{"keeps-line", "a host keeps offers in line whose connection ended, and says that it never saw them", "no-repeat", forkhead.Unsafe, 1, func(m *machines) {
 		m.keepsLine = true
 		m.side = func(s hostside.State, in hostside.Input) (hostside.State, hostside.Reply) {
@@ -130,21 +134,21 @@
 			}
 			return hostside.Next(s, in)
 		}
-	}},
+	}, 0},
 	{"old-connection", "a host goes on reading an older connection beside the present one", "no-repeat", forkhead.Unsafe, 1,
-		func(m *machines) { m.anyConn = true }},
+		func(m *machines) { m.anyConn = true }, 0},
 	{"adopt-beside", "a stray is adopted while another attempt is out, which is not called off", "no-leak", forkhead.Safe, 1, func(m *machines) {
 		m.adopts = func(wanted, _ bool) bool { return wanted }
 		m.noCallOff = true
-	}},
+	}, 0},
 	{"late-write", "an offer that waited for its connection is written after hosts have forgotten its key", "no-repeat", forkhead.Keyed, 1, func(m *machines) {
 		m.mayWrite = func(*attempt.Ask, time.Duration, int) error { return nil }
-	}},
+	}, 0},
 	{"ask-for-good", "an owner asks again for good", "liveness", forkhead.Safe, 1, func(m *machines) {
 		m.askAlways = true
-	}},
+	}, 0},
 	{"died-ignored", "the end of a host's life settles nothing", "no-leak", forkhead.Unsafe, 1,
-		phaseRule(attempt.Unknown, attempt.Died, attempt.Unknown, attempt.None)},
+		phaseRule(attempt.Unknown, attempt.Died, attempt.Unknown, attempt.None), 0},
 }
 
 // FindPlant returns a plant by name.
--- a/internal/proving/explore/search.go
+++ b/internal/proving/explore/search.go
@@ -25,6 +25,7 @@
 	NoCrash      bool
 	Ends         bool // tasks may end by themselves
 	Cycles       bool // look for cycles of fair steps as well: 16 bytes more a step
+	Spread       int  // all tasks are of one service, of which a host may have so many; 0: no limit
 	Plant        string
 	Workers      int                     // 0: one a processor
 	MostStates   int                     // 0: 100 million
@@ -66,6 +67,7 @@
 	{"one-out", "No offer is written while another of the same ask is waiting or unanswered."},
 	{"no-repeat", "No offer of an unsafe task, or of a keyed one after its window, is written while an earlier attempt of any ask or life may run or have run, unless the placer knows that it is over and the ask is a new one; and no unsafe task starts while another start of it runs."},
 	{"drain", "No offer is written to a host after the grace of a drain that the placer was told of."},
+	{"spread", "Where the search has a spread, no offer is written to a host that has as many of the service's tasks, waiting, out, placed or silent, as it may."},
 	{"after-outcome", "No offer is written for a task that was told refused or failed."},
 	{"promise", "No unsafe task is told refused while an attempt that the placer does not know the fate of may run."},
 	{"no-leak", "Where nothing fair is left to happen, every attempt is settled or placed, every task that a host holds is some owner's placed one, and every placed one is held."},
--- a/internal/proving/explore/steps.go
+++ b/internal/proving/explore/steps.go
@@ -235,7 +235,8 @@
 	var buf [mostAttempts]attempt.Attempt
 	ask := st.ask(t, &buf)
 	number := len(ask.Attempts) - 1 // the one that waits is the last
-	if !st.m.recheckNot && st.drained(h) || st.m.mayWrite(&ask, t.now(), number) != nil {
+	if !st.m.recheckNot && st.drained(h) || st.m.mayWrite(&ask, t.now(), number) != nil ||
+		!st.m.crowdNot && st.crowded(int(at.host), ti, ai) {
 		st.input(ti, ai, attempt.Broke)
 		return
 	}
@@ -245,6 +246,21 @@
 	st.send(h, msg(mOffer, ti, ai))
 }
 
+// crowded says whether a host has as many of the service's tasks as the spread allows, one attempt
+// left out. All tasks of a search are of one service.
+func (st *step) crowded(hi, ti, ai int) bool {
+	if st.cfg.Spread == 0 {
+		return false
+	}
+	n := 0
+	st.each(hi, func(oti, oai int) {
+		if (oti != ti || oai != ai) && st.s.tasks[oti].att[oai].is().Live() {
+			n++
+		}
+	})
+	return n >= st.cfg.Spread
+}
+
 func (st *step) drained(h *host) bool {
 	state, now := forkhead.Ready, time.Duration(0)
 	if h.told > 0 {
@@ -434,6 +450,9 @@
 	if st.s.hosts[at.host].told == 2 {
 		st.violate("drain", "an offer to a host after the grace of its drain")
 	}
+	if st.crowded(int(at.host), ti, ai) {
+		st.violate("spread", "an offer to a host that has as many of its service as it may")
+	}
 	if t.told == toldRefused || t.told == toldFailed {
 		st.violate("after-outcome", "an offer of a task that was told its outcome")
 	}
--- a/internal/standins/catalogued/server.go
+++ b/internal/standins/catalogued/server.go
@@ -95,7 +95,8 @@
 	return s.outage
 }
 
-var errDown = errors.New("No cluster leader")
+// errDown is told in the words that Consul uses.
+var errDown = errors.New("no cluster leader")
 
 func (s *Server) health(w http.ResponseWriter, r *http.Request) {
 	index, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
--- a/validate.go
+++ b/validate.go
@@ -10,15 +10,15 @@
 func check(set *Settings) error {
 	switch {
 	case set.Placers < 1:
-		return fmt.Errorf("Placers is %d, want at least 1", set.Placers)
+		return fmt.Errorf("settings: Placers is %d, want at least 1", set.Placers)
 	case set.Self < 0 || set.Self >= set.Placers:
-		return fmt.Errorf("Self is %d, want 0 to %d", set.Self, set.Placers-1)
+		return fmt.Errorf("settings: Self is %d, want 0 to %d", set.Self, set.Placers-1)
 	case len(set.Classes) == 0:
-		return fmt.Errorf("Classes is empty")
+		return fmt.Errorf("settings: Classes is empty")
 	case len(set.Kinds) == 0:
-		return fmt.Errorf("Kinds is empty")
+		return fmt.Errorf("settings: Kinds is empty")
 	case set.MaxAttempts < 1:
-		return fmt.Errorf("MaxAttempts is %d, want at least 1", set.MaxAttempts)
+		return fmt.Errorf("settings: MaxAttempts is %d, want at least 1", set.MaxAttempts)
 	}
 	figures := map[string]float64{
 		"MeanCores": set.MeanCores, "MeanMemory": set.MeanMemory, "AcceptCores": set.AcceptCores,
