--- a/internal/standins/hostd/hostd_test.go
+++ b/internal/standins/hostd/hostd_test.go
@@ -57,6 +57,31 @@
 	}
 }
 
+// A frame that was read before its host died and comes to its turn in the next life is nobody's: the
+// record must not hold it as an offer of that life, which no event would ever end.
+func TestFrameOfAnEarlierLife(t *testing.T) {
+	s, log := start(t)
+	h := &conn{s: s, id: 77, placer: 1, epoch: 1}
+	s.loop.Call(func() {
+		h.life = s.life
+		s.ends()
+	})
+	if err := s.Revive(false); err != nil {
+		t.Fatal(err)
+	}
+	s.loop.Call(func() {
+		s.conns[h.id] = h
+		s.frame(h, hostproto.Offer{Ref: hostproto.Ref{Epoch: 1, Task: 1}, Wait: time.Second}, s.cfg.Clock.Now())
+		delete(s.conns, h.id)
+	})
+	events, _ := log.Events()
+	for _, e := range events {
+		if e.What == record.Offer {
+			t.Fatalf("recorded: %+v", e)
+		}
+	}
+}
+
 // Each broken stream gets one Bye that says why, and its connection is closed; the host goes on.
 func TestBadStreams(t *testing.T) {
 	s, _ := start(t)
