Durable state, its core: notes before what follows, and a life that begins with them

Not yet wired into serve.

Measured: 40 random lives whose placer dies at each point of its steps, and while it recovers: nothing acknowledged is forgotten, no outcome changes, no unsafe task runs twice.

--- a/internal/placing/core/api.go
+++ b/internal/placing/core/api.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"forkhead"
+	"forkhead/internal/placing/state"
 	"forkhead/internal/protocol/catalogue"
 	"forkhead/internal/protocol/hostproto"
 	"forkhead/internal/reading/description"
@@ -52,6 +53,8 @@
 		Request uint64
 		Project string
 	}
+	// Restore brings what an earlier life has noted, before anything else.
+	Restore struct{ Kept *state.Kept }
 	// FromPlacer brings a message from another placer.
 	FromPlacer struct {
 		From int
@@ -65,6 +68,7 @@
 func (FromHost) input()   {}
 func (Submit) input()     {}
 func (Remove) input()     {}
+func (Restore) input()    {}
 func (FromPlacer) input() {}
 
 // HostEntry is a host as the list names it.
@@ -114,6 +118,9 @@
 	}
 	// Grew says that a submission has more outcomes, or is complete.
 	Grew struct{ Submission string }
+	// Keep notes what must not be forgotten. What follows in the step leaves only when the step's notes are durable, if
+	// one of them is to be waited for (state.Waits).
+	Keep struct{ Note state.Note }
 	// Logged is a line for whoever is on call.
 	Logged struct {
 		Defect bool // of this program
@@ -129,6 +136,7 @@
 func (Taken) output()     {}
 func (Rejected) output()  {}
 func (Grew) output()      {}
+func (Keep) output()      {}
 func (Logged) output()    {}
 
 // Outcome is the one outcome of a task of a submission.
--- a/internal/placing/core/asks.go
+++ b/internal/placing/core/asks.go
@@ -10,6 +10,7 @@
 	"forkhead/internal/placing/guard"
 	"forkhead/internal/placing/hostlink"
 	"forkhead/internal/placing/owner"
+	"forkhead/internal/placing/state"
 	"forkhead/internal/protocol/hostproto"
 )
 
@@ -32,6 +33,7 @@
 	hostEpoch uint64 // the host's life in which it was written
 	conn      uint32 // the connection on which it was written
 	runs      bool
+	noted     bool // so that a later life knows of it
 	waited    bool // for its host's connection
 	moving    bool // stopped by the module, to be placed anew
 }
@@ -175,6 +177,7 @@
 	t.hostEpoch, t.conn = h.link.Epoch, h.link.Conn
 	c.input(t, attempt.Written, detail{})
 	w := k.wish
+	c.noteAttempt(t)
 	c.send(h, hostproto.Offer{
 		Ref: t.ref, Wait: max(k.Deadline-c.now, time.Millisecond), Payload: w.spec.Payload, Spec: hostproto.Spec{
 			Key: w.key, Service: k.task.Service, Fingerprint: w.fingerprint, Name: w.name,
@@ -298,6 +301,9 @@
 	if after.Settled() && !before.Settled() {
 		delete(t.host.tries, t.ref)
 		delete(c.refs, t.ref)
+		if t.noted {
+			c.keep(state.Settled{Ref: t.ref})
+		}
 	}
 	if after == attempt.Unknown && before != after {
 		if c.unknown[w.key] == nil {
@@ -423,6 +429,7 @@
 	if c.labels.near > 0 {
 		c.relabel()
 	}
+	c.noteAttempt(t)
 	c.tell(forkhead.HandedOver{Task: k.task, Machine: h.id})
 	c.bound(w, t)
 }
--- a/internal/placing/core/core.go
+++ b/internal/placing/core/core.go
@@ -22,6 +22,7 @@
 	Seed     uint64
 	Epoch    uint64   // of this life; higher than any before
 	Hash     ids.Hash // nil: ids.FNV
+	Durable  bool     // what must not be forgotten is told as Keep
 	// Decide stands in the module's place in tests of the guard; nil: the module.
 	Decide func(now time.Duration, events []forkhead.Event) []forkhead.Action
 }
@@ -62,6 +63,10 @@
 	ended       []*submission // complete, in the order in which they became so
 	nextSub     uint64
 
+	durable bool
+	buried  map[string]bool // projects that were removed in an earlier life
+	keptAt  time.Duration   // the list was last noted
+
 	policy owner.Policy
 	links  hostlink.Policy
 	stat   Status
@@ -87,6 +92,7 @@
 		links: hostlink.Policy{Connect: set.Links.Connect, First: set.Links.First, Most: set.Links.Most},
 	}
 	c.labels.most = set.Limits.Label
+	c.durable, c.buried = cfg.Durable, map[string]bool{}
 	c.stat = Status{Placer: set.Module.Self, Epoch: cfg.Epoch, Outcomes: map[string]uint64{}, ByRule: map[string]uint64{}}
 	c.zones[set.Placers[set.Module.Self].Zone] = 0
 	if c.decide == nil {
@@ -176,6 +182,8 @@
 		c.submit(in)
 	case Remove:
 		c.remove(in)
+	case Restore:
+		c.restore(in.Kept)
 	case FromPlacer:
 		c.tell(forkhead.Told{From: in.From, Data: in.Data})
 	}
--- a/internal/placing/core/hosts.go
+++ b/internal/placing/core/hosts.go
@@ -9,6 +9,7 @@
 	"forkhead/internal/placing/attempt"
 	"forkhead/internal/placing/guard"
 	"forkhead/internal/placing/hostlink"
+	"forkhead/internal/placing/state"
 	"forkhead/internal/protocol/hostproto"
 	"forkhead/internal/reading/settings"
 )
@@ -37,6 +38,8 @@
 	probe  uint32                   // number of the last one
 	ask    bool                     // the module wants a probe once the connection is up
 	lapse  uint64                   // number of the timer that counts
+
+	restored bool // known from an earlier life's attempts, and not listed yet
 }
 
 // state is what this placer goes by: the list's word, or the host's own if that is worse.
@@ -116,7 +119,7 @@
 			continue
 		}
 		seen[h] = true
-		h.listed, h.entry, h.kind = true, entry, kind
+		h.listed, h.restored, h.entry, h.kind = true, false, entry, kind
 		h.zone, h.cell = number(c.zones, entry.Zone), number(c.racks, entry.Rack)
 		h.labels = c.labelsOf(h)
 		c.link(h, hostlink.Input{Kind: hostlink.Listed, Address: entry.Address})
@@ -126,6 +129,10 @@
 		c.tell(forkhead.Update{Mode: forkhead.ListDelta, Machines: gone})
 	}
 	for _, h := range c.sorted() {
+		if !seen[h] && h.restored && l.Mode == forkhead.ListFull {
+			h.restored = false
+			c.departed(h)
+		}
 		if !seen[h] && h.listed {
 			h.listed = false
 			c.link(h, hostlink.Input{Kind: hostlink.Delisted})
@@ -144,8 +151,15 @@
 	}
 	c.tell(update)
 	c.forgetHosts()
+	if l.Mode == forkhead.ListFull && (c.keptAt == 0 || c.now >= c.keptAt+listEvery) {
+		c.keptAt = c.now
+		c.keep(state.Listed{List: state.List{At: c.now, Hosts: l.Hosts}})
+	}
 }
 
+// listEvery is how often a list is noted at most.
+const listEvery = 2 * time.Second
+
 // renumber moves a host whose number collided to the one that the table gives it now.
 func (c *Core) renumber(name string, old forkhead.MachineID) []forkhead.Machine {
 	h := c.hosts[name]
--- a/internal/placing/core/inherit.go
+++ b/internal/placing/core/inherit.go
@@ -28,6 +28,10 @@
 		return
 	}
 	p := c.projects[parts[0]]
+	if p == nil && c.buried[parts[0]] {
+		c.send(h, hostproto.Stop{Ref: held.Ref}) // its project was removed before the earlier life ended
+		return
+	}
 	if p == nil {
 		p = &project{name: parts[0], services: map[string]*service{}}
 		c.projects[parts[0]] = p
@@ -59,6 +63,10 @@
 		c.unwanted(w, h, held)
 		return
 	}
+	if !svc.fostered {
+		c.send(h, hostproto.Stop{Ref: held.Ref}) // the description that is known asks for no such task
+		return
+	}
 	// The description is lost: what the host knows of the task stands for it.
 	own := &description.Service{
 		Name: svc.name, Class: spec.Class, Tenant: spec.Tenant, Replicas: 1, Life: spec.Life,
--- a/internal/placing/core/projects.go
+++ b/internal/placing/core/projects.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -10,6 +11,7 @@
 	"forkhead"
 	"forkhead/internal/placing/attempt"
 	"forkhead/internal/placing/rollout"
+	"forkhead/internal/placing/state"
 	"forkhead/internal/protocol/hostproto"
 	"forkhead/internal/reading/description"
 	"forkhead/internal/reading/settings"
@@ -52,6 +54,7 @@
 	key      string
 	body     uint64
 	total    int
+	at       time.Duration // taken
 	outcomes []Outcome
 	doneAt   time.Duration
 }
@@ -62,7 +65,14 @@
 	at  time.Duration
 }
 
-func (s *submission) add(c *Core, o Outcome) {
+func (s *submission) add(c *Core, w *wish, o Outcome) {
+	if c.durable {
+		text, err := json.Marshal(o)
+		if err != nil {
+			c.defect("an outcome has no form to be kept in: %v", err)
+		}
+		c.keep(state.Told{Submission: s.id, Number: len(s.outcomes), Text: text, Task: w.task(o.Outcome, o.Outcome != WordPlaced)})
+	}
 	s.outcomes = append(s.outcomes, o)
 	if s.complete() {
 		s.doneAt = c.now
@@ -95,6 +105,7 @@
 	s := c.ended[0]
 	c.ended = c.ended[1:]
 	delete(c.submissions, s.id)
+	c.keep(state.Forgotten{Submission: s.id})
 	if c.byKey[s.key] == s {
 		delete(c.byKey, s.key)
 	}
@@ -147,7 +158,7 @@
 		c.forgetSubmission()
 	}
 	c.nextSub++
-	s := &submission{id: strconv.FormatUint(c.epoch, 36) + "-" + strconv.FormatUint(c.nextSub, 36), key: in.Key, body: in.Body, total: tasks}
+	s := &submission{id: strconv.FormatUint(c.epoch, 36) + "-" + strconv.FormatUint(c.nextSub, 36), key: in.Key, body: in.Body, total: tasks, at: c.now}
 	name := d.Name
 	if name == "" {
 		name = "unnamed-" + s.id
@@ -166,6 +177,8 @@
 	if s.key != "" {
 		c.byKey[s.key] = s
 	}
+	c.keep(state.Taken{What: d, Submission: state.Submission{ID: s.id, Key: s.key, Body: s.body, Total: s.total, At: c.now, Project: name}})
+	delete(c.buried, name)
 	c.do(Taken{Request: in.Request, Submission: s.id})
 	if tasks == 0 {
 		s.total = 0
@@ -414,6 +427,7 @@
 		c.do(Rejected{Request: in.Request, Status: 404, Title: "No such project", Detail: in.Project + " is not here"})
 		return
 	}
+	c.keep(state.Removed{Project: in.Project, At: c.now})
 	for _, name := range slices.Sorted(maps.Keys(p.services)) {
 		if svc := p.services[name]; svc != nil {
 			c.removeService(svc)
--- /dev/null
+++ b/internal/placing/core/restore.go
@@ -0,0 +1,189 @@
+package core
+
+import (
+	"encoding/json"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/placing/attempt"
+	"forkhead/internal/placing/state"
+	"forkhead/internal/protocol/hostproto"
+	"forkhead/internal/reading/description"
+)
+
+// What follows carries a placer over its own death: what it notes while it lives, and how a new life begins with it.
+
+// buriedFor is how long it is kept that a project was removed: hosts that come back by then stop what they run of it.
+const buriedFor = 24 * time.Hour
+
+func (c *Core) keep(n state.Note) {
+	if c.durable {
+		c.do(Keep{Note: n})
+	}
+}
+
+// task is what is noted of a wish.
+func (w *wish) task(word string, over bool) state.Task {
+	return state.Task{Project: w.svc.project.name, Service: w.svc.name, Replica: w.replica, Word: word, Over: over}
+}
+
+// neverAgain notes that a task has ended for good.
+func (c *Core) neverAgain(w *wish) {
+	word := WordFailed
+	if w.success {
+		word = WordPlaced
+	}
+	c.keep(state.Done{Task: w.task(word, true)})
+}
+
+// noteAttempt notes an attempt that must not be made twice. A safe one is not noted: to make it again does no harm, and the
+// note would cost its start an fsync.
+func (c *Core) noteAttempt(t *try) {
+	w := t.ask.wish
+	if !c.durable || t.ask.Rules.Effect == forkhead.Safe || w.svc.fostered {
+		return
+	}
+	t.noted = true
+	c.keep(state.Offered{Attempt: state.Attempt{
+		Ref: t.ref, Key: w.key, Project: w.svc.project.name, Service: w.svc.name, Replica: w.replica, Class: c.set.Classes[w.class].Name,
+		Host: t.host.name, Address: t.host.link.Address, Life: t.hostEpoch, At: t.ask.Attempts[t.number].At,
+	}})
+}
+
+// restore begins a life with what an earlier one has noted. Nothing is offered before hosts have said what they run, or
+// the owner's wait is over; an attempt that was noted is unknown until its host has said what became of it.
+func (c *Core) restore(k *state.Kept) {
+	c.keep(state.Began{Epoch: c.epoch})
+	for _, bad := range k.Bad {
+		c.log("what was kept cannot be read: %s", bad)
+	}
+	for i := range k.Submissions {
+		c.restoreSubmission(&k.Submissions[i])
+	}
+	var held []*wish
+	for i := range k.Projects {
+		held = append(held, c.restoreProject(&k.Projects[i])...)
+	}
+	for name, at := range k.Removed {
+		if at+buriedFor <= c.now {
+			c.keep(state.Erased{Project: name})
+			continue
+		}
+		c.buried[name] = true
+	}
+	for i := range k.Attempts {
+		c.restoreAttempt(&k.Attempts[i])
+	}
+	for _, w := range held {
+		c.release(w)
+	}
+}
+
+func (c *Core) restoreSubmission(f *state.Followed) {
+	s := &submission{id: f.ID, key: f.Key, body: f.Body, total: f.Total, at: f.At}
+	for _, text := range f.Outcomes {
+		var o Outcome
+		if err := json.Unmarshal(text, &o); err != nil {
+			c.log("an outcome of submission %s cannot be read: %v", f.ID, err)
+			break
+		}
+		s.outcomes = append(s.outcomes, o)
+	}
+	c.submissions[s.id] = s
+	if s.key != "" {
+		c.byKey[s.key] = s
+	}
+	if s.complete() {
+		s.doneAt = c.now
+		c.ended = append(c.ended, s)
+		c.at(&timer{at: c.now + c.set.Limits.Keep, kind: timerExpire})
+	}
+}
+
+// restoreProject brings a project back and returns the tasks whose outcome is owed.
+func (c *Core) restoreProject(k *state.Project) (held []*wish) {
+	d := k.What
+	p := &project{name: d.Name, services: map[string]*service{}}
+	needs, ok := c.needs(p, d)
+	if !ok {
+		c.log("project %s needs more placement constraints than there may be; it is left out", d.Name)
+		return nil
+	}
+	c.projects[p.name] = p
+	type name struct {
+		service string
+		replica int
+	}
+	was := map[name]state.Task{}
+	for _, t := range k.Tasks {
+		was[name{t.Service, t.Replica}] = t
+	}
+	sub := c.submissions[k.Submission]
+	for i := range d.Services {
+		spec := &d.Services[i]
+		svc := &service{
+			project: p, name: spec.Name, wishes: map[int]*wish{}, spec: spec, needs: needs[i], before: map[*wish]*description.Service{},
+			key: description.ServiceKey(spec.Tenant, p.name, spec.Name),
+		}
+		p.services[spec.Name] = svc
+		for r := 1; r <= spec.Replicas; r++ {
+			t, told := was[name{spec.Name, r}]
+			if told && t.Over && t.Word != WordPlaced {
+				svc.failed = "was not placed"
+				continue
+			}
+			w := c.newWish(svc, r, spec)
+			w.recovered = true
+			switch {
+			case told && t.Over:
+				w.state, w.success = done, true
+			case told || sub == nil:
+				// Its outcome is told: it is to run, and most likely does.
+				w.lives = 1
+				w.owner.Begin(c.now + forever)
+				c.askAt(w, c.now)
+			default:
+				w.claim = &claim{sub: sub, at: sub.at}
+				held = append(held, w)
+			}
+		}
+	}
+	return held
+}
+
+// restoreAttempt makes an attempt of an earlier life unknown: its task waits, as its class says, until its host has said
+// what became of it.
+func (c *Core) restoreAttempt(a *state.Attempt) {
+	var w *wish
+	if p := c.projects[a.Project]; p != nil && p.services[a.Service] != nil {
+		w = p.services[a.Service].wishes[a.Replica]
+	}
+	if w == nil || w.state == done {
+		// Nobody wants the task any more: what its host still runs of it is stopped when it shows.
+		c.keep(state.Settled{Ref: a.Ref})
+		return
+	}
+	h := c.hosts[a.Host]
+	if h == nil {
+		h = &host{name: a.Host, tries: map[hostproto.Ref]*try{}, probes: map[uint32]time.Duration{}, restored: true}
+		h.link.Address = a.Address
+		c.hosts[a.Host] = h
+		n, renamed := c.ids.Add(a.Host)
+		h.id = forkhead.MachineID(n)
+		for name, old := range renamed {
+			c.renumber(name, forkhead.MachineID(old))
+		}
+		c.byID[h.id] = h
+	}
+	h.link.Epoch = max(h.link.Epoch, a.Life)
+	k := c.newAsk(w)
+	k.Answer = attempt.Gave
+	k.Attempts = []attempt.Attempt{{Host: attempt.Host(h.id), Phase: attempt.Unknown, At: a.At}}
+	t := &try{ask: k, host: h, machine: h.id, ref: a.Ref, hostEpoch: a.Life, noted: true}
+	k.tries = []*try{t}
+	c.index(t)
+	if c.unknown[w.key] == nil {
+		c.unknown[w.key] = map[*try]bool{}
+	}
+	c.unknown[w.key][t] = true
+}
--- a/internal/placing/core/tasks.go
+++ b/internal/placing/core/tasks.go
@@ -45,6 +45,7 @@
 	lives     int  // times that it was placed
 	restarts  []time.Duration
 	relaxed   bool // its preferences could not be kept
+	recovered bool // from what an earlier life has noted: it may run already
 	removing  bool
 	gone      bool // no longer of any project
 	success   bool // of a task that is done
@@ -69,7 +70,11 @@
 	if patience == 0 {
 		patience = max(c.set.Classes[w.class].Patience, w.spec.Wait)
 	}
-	w.owner.Begin(c.now + patience)
+	from := c.now
+	if w.recovered && w.claim != nil {
+		from = min(w.claim.at, c.now) // its owner has waited since before this life; a clock may have been set back
+	}
+	w.owner.Begin(max(from+patience, c.now+attempt.AskMargin))
 	w.relaxed, w.refusals, w.reason = false, nil, ""
 	w.giveUpSeq++
 	c.at(&timer{at: w.owner.Until, kind: timerGiveUp, wish: w, number: w.giveUpSeq})
@@ -121,7 +126,7 @@
 // forget its key.
 func (c *Core) mustWait(w *wish, wait *time.Duration) bool {
 	r := c.rules(w.class)
-	if r.Waits(c.heardAll(), c.now >= c.gate()) {
+	if r.Waits(c.heardAll(), c.now >= c.gate()) || w.recovered && !c.heardAll() && c.now < c.gate() {
 		// Guards against starting again what an earlier life had started: hosts say what they run.
 		w.askSeq++
 		c.at(&timer{at: min(c.gate(), c.now+attempt.AskMargin), kind: timerAsk, wish: w, number: w.askSeq})
@@ -280,6 +285,7 @@
 	}
 	w.state, w.try, w.ask = placed, t, nil
 	w.owner.Placed()
+	w.recovered = false
 	w.lives++
 	c.outcome(w, WordPlaced, t.host, "")
 	c.swap(w)
@@ -312,6 +318,7 @@
 		c.drop(w) // nobody knows any more what it was made of
 	case w.lives >= c.set.Owner.Lives:
 		c.log("task %s was placed %d times and is given up", w.name, w.lives)
+		c.neverAgain(w)
 		c.drop(w)
 	default:
 		w.owner.Begin(c.now + forever)
@@ -356,6 +363,7 @@
 	}
 	if !want {
 		w.state, w.success = done, well
+		c.neverAgain(w)
 		c.wake(w.svc)
 		return
 	}
@@ -381,7 +389,7 @@
 	}
 	w.offers = 0
 	c.stat.Outcomes[word]++
-	cl.sub.add(c, o)
+	cl.sub.add(c, w, o)
 }
 
 // drop takes a wish out of its project. What may still run of it is stopped when it shows.
--- a/internal/proving/lives/lives_test.go
+++ b/internal/proving/lives/lives_test.go
@@ -40,3 +40,19 @@
 	}()
 	single{}.Fatalf("two of %d", 3)
 }
+
+// A placer that is killed at each point of its steps, and while it recovers, forgets nothing that it acknowledged.
+func TestDurableLives(t *testing.T) {
+	var all Crashes
+	for seed := range 40 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := PlayDurable(t, uint64(seed))
+			all.BeforeNote, all.BehindNote, all.HalfCarried = all.BeforeNote+c.BeforeNote, all.BehindNote+c.BehindNote, all.HalfCarried+c.HalfCarried
+			all.Between, all.Recovering = all.Between+c.Between, all.Recovering+c.Recovering
+		})
+	}
+	if min(all.BeforeNote, all.BehindNote, all.HalfCarried, all.Between, all.Recovering) < 20 {
+		t.Errorf("hardly any crashes prove nothing: %+v", all)
+	}
+	t.Logf("%+v", all)
+}
--- a/internal/proving/lives/sim.go
+++ b/internal/proving/lives/sim.go
@@ -6,12 +6,14 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"time"
 
 	"forkhead"
 	"forkhead/internal/placing/core"
+	"forkhead/internal/placing/state"
 	"forkhead/internal/protocol/hostproto"
 	"forkhead/internal/protocol/record"
 	"forkhead/internal/proving/rules"
@@ -46,9 +48,76 @@
 	ToHost   func(host string, f hostproto.Frame) bool // false: the frame is lost, to the host
 	FromHost func(host string, f hostproto.Frame) bool // and from it
 	Epoch    uint64
+	crashed  bool
+	Durable  bool           // the placer notes what it must not forget, and a new life begins with it
+	Disk     *Disk          // what was made durable
+	CrashAt  func() Crash   // asked at each step that notes something; nil: never
 	Record   []record.Event // what crossed the placer's own sockets
 }
 
+// Disk is what a placer's notes have come to.
+type Disk struct {
+	Values  map[string]map[string][]byte // by bucket and key
+	lazy    []state.Change               // noted and not yet written
+	Commits int
+}
+
+// NewDisk returns an empty one.
+func NewDisk() *Disk {
+	d := &Disk{Values: map[string]map[string][]byte{}}
+	for _, b := range state.Buckets {
+		d.Values[b] = map[string][]byte{}
+	}
+	return d
+}
+
+// Keep takes the notes of a step, as package store does.
+func (d *Disk) Keep(notes []state.Note) {
+	wait := false
+	for _, n := range notes {
+		wait = wait || state.Waits(n)
+		d.lazy = append(d.lazy, state.Changes(n)...)
+	}
+	if !wait {
+		return
+	}
+	d.Commits++
+	for _, c := range d.lazy {
+		switch {
+		case c.All:
+			maps.DeleteFunc(d.Values[c.Bucket], func(k string, _ []byte) bool { return strings.HasPrefix(k, c.Key) })
+		case c.Value == nil:
+			delete(d.Values[c.Bucket], c.Key)
+		default:
+			d.Values[c.Bucket][c.Key] = c.Value
+		}
+	}
+	d.lazy = nil
+}
+
+// Kept reads what was made durable; what was not is lost.
+func (d *Disk) Kept() *state.Kept {
+	d.lazy = nil
+	var l state.Loader
+	for bucket, values := range d.Values {
+		for key, v := range values {
+			l.Add(bucket, key, v)
+		}
+	}
+	return l.Kept()
+}
+
+// Crash says where in a step that notes something the placer dies.
+type Crash uint8
+
+// The places.
+const (
+	Lives       Crash = iota // it does not
+	BeforeNote               // nothing of the step is kept, and nothing leaves
+	BehindNote               // the notes are kept, and nothing leaves
+	HalfCarried              // the notes are kept, and half of what leaves has left
+)
+
 // TB is as much of testing.TB as a Sim needs.
 type TB interface {
 	Helper()
@@ -121,8 +190,16 @@
 
 // New starts a core and hosts h0, h1, ...: even ones small, odd ones large, two to a rack.
 func New(t TB, set *settings.Settings, hosts int, change ...func(*core.Config)) *Sim {
+	return begin(t, set, hosts, false, change...)
+}
+
+// NewDurable is New for a placer that notes what it must not forget.
+func NewDurable(t TB, set *settings.Settings, hosts int) *Sim { return begin(t, set, hosts, true) }
+
+func begin(t TB, set *settings.Settings, hosts int, durable bool, change ...func(*core.Config)) *Sim {
 	s := &Sim{
-		t: t, Settings: set, Hosts: map[string]*Host{}, Now: time.Hour, rng: rand.New(rand.NewPCG(1, 2)), Delay: time.Millisecond, ListUp: true, Epoch: 1,
+		Durable: durable,
+		t:       t, Settings: set, Hosts: map[string]*Host{}, Now: time.Hour, rng: rand.New(rand.NewPCG(1, 2)), Delay: time.Millisecond, ListUp: true, Epoch: 1,
 	}
 	for i := range hosts {
 		kind, cores, memory := "small", 8., 16.
@@ -137,7 +214,7 @@
 }
 
 func (s *Sim) startCore(change ...func(*core.Config)) {
-	cfg := core.Config{Settings: s.Settings, Seed: 7, Epoch: s.Epoch}
+	cfg := core.Config{Settings: s.Settings, Seed: 7, Epoch: s.Epoch, Durable: s.Durable}
 	for _, c := range change {
 		c(&cfg)
 	}
@@ -145,7 +222,14 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.Core, s.subs = c, false
+	s.Core, s.subs, s.crashed = c, false, false
+	if s.Durable {
+		if s.Disk == nil {
+			s.Disk = NewDisk()
+		}
+		s.Step(core.Restore{Kept: s.Disk.Kept()})
+		return
+	}
 	s.Step()
 }
 
@@ -180,15 +264,56 @@
 
 // Step gives the core inputs and carries out what it says.
 func (s *Sim) Step(in ...core.Input) {
+	if s.crashed {
+		return // nobody is there
+	}
 	c := s.Core
 	out := c.Step(s.Now, in...)
 	base := record.Event{Near: true, Placer: s.Settings.Module.Self, PlacerEpoch: s.Epoch}
-	s.Record = append(s.Record, tape.Events(base, s.Now, 0, in, out)...)
+	var notes []state.Note
+	leaves := out[:0:0]
 	for _, o := range out {
+		if k, ok := o.(core.Keep); ok {
+			notes = append(notes, k.Note)
+		} else {
+			leaves = append(leaves, o)
+		}
+	}
+	crash := Lives
+	if len(notes) > 0 && s.CrashAt != nil {
+		crash = s.CrashAt()
+	}
+	if len(notes) > 0 && crash != BeforeNote {
+		s.Disk.Keep(notes)
+	}
+	switch crash {
+	case BeforeNote, BehindNote:
+		leaves = nil
+	case HalfCarried:
+		leaves = leaves[:len(leaves)/2]
+	}
+	s.Record = append(s.Record, tape.Events(base, s.Now, 0, in, leaves)...)
+	for _, o := range leaves {
 		s.carry(c, o)
 	}
+	if crash != Lives {
+		s.crashed = true // the caller's stack may hold the core that died: the next life begins behind it
+		s.Core = s.idle()
+	}
+}
+
+// idle is a core that was told nothing and does nothing: it stands there between two lives.
+func (s *Sim) idle() *core.Core {
+	c, err := core.New(core.Config{Settings: s.Settings, Seed: 7, Epoch: s.Epoch})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return c
 }
 
+// Crashed says whether the placer has died at a crash point. Restart begins its next life.
+func (s *Sim) Crashed() bool { return s.crashed }
+
 // Verdict judges what has crossed the placer's sockets by the rules.
 func (s *Sim) Verdict() rules.Verdict {
 	events := make([]record.Event, 0, len(s.Names)+len(s.Record))
