What a stopped process does not carry is not held against its client

For how long it stood is in the record: the placers' late steps. The bound of a second stays for the rest.

--- a/internal/proving/rules/rules.go
+++ b/internal/proving/rules/rules.go
@@ -293,7 +293,7 @@
 			}
 		}
 	}
-	slept := c.nearAnswers(subs)
+	slept, stood := c.nearAnswers(subs)
 	for i := range c.events {
 		e := &c.events[i]
 		if e.What != record.Outcome {
@@ -322,7 +322,8 @@
 		if s.near > 0 {
 			since = max(since, s.near+e.Took)
 		}
-		if late := e.At - since; late > c.f.Late && !cut {
+		// A process that stood still meanwhile carried nothing: for how long, its placers' late steps say.
+		if late := e.At - since; late > c.f.Late && late-stood(since, e.At) > c.f.Late && !cut {
 			c.breach(guard.OneAnswer, e.At, "%s of submission %s was told %v after its owner gave up", e.Name, e.Submission, late.Round(time.Millisecond))
 		}
 		// By the placer's clock there is no way to be late but a step that ran late.
@@ -360,9 +361,11 @@
 }
 
 // nearAnswers notes when placers took submissions, by their own clocks, and returns whether a step
-// of a placer that was due by a time ran after it.
-func (c *checker) nearAnswers(subs map[string]*sub) (slept func(placer int, due time.Duration) bool) {
+// of a placer that was due by a time ran after it, and for how long of some time any of them waited for
+// a step that was due: all are of one process.
+func (c *checker) nearAnswers(subs map[string]*sub) (slept func(placer int, due time.Duration) bool, stood func(from, to time.Duration) time.Duration) {
 	late := map[int][][2]time.Duration{}
+	var all [][2]time.Duration
 	for i := range c.ours {
 		e := &c.ours[i]
 		switch e.What {
@@ -372,11 +375,23 @@
 			}
 		case record.Late:
 			late[e.Placer] = append(late[e.Placer], [2]time.Duration{e.At - e.Within, e.At})
+			all = append(all, [2]time.Duration{e.At - e.Within, e.At})
 		}
 	}
-	return func(placer int, due time.Duration) bool {
+	slices.SortFunc(all, func(a, b [2]time.Duration) int { return cmp.Compare(a[0], b[0]) })
+	slept = func(placer int, due time.Duration) bool {
 		return slices.ContainsFunc(late[placer], func(l [2]time.Duration) bool { return l[0] <= due && due <= l[1] })
 	}
+	stood = func(from, to time.Duration) (sum time.Duration) {
+		for _, l := range all {
+			if end := min(l[1], to); end > max(l[0], from) {
+				sum += end - max(l[0], from)
+				from = end
+			}
+		}
+		return sum
+	}
+	return slept, stood
 }
 
 // ---- Rule 2.
--- a/internal/proving/rules/rules_test.go
+++ b/internal/proving/rules/rules_test.go
@@ -163,6 +163,8 @@
 		"two milliseconds late":     {[]record.Event{submit, taken, outcome(1012*ms, 1002*ms)}, true},
 		"the step ran late":         {[]record.Event{submit, taken, slept, outcome(2600*ms, 2491*ms)}, false},
 		"and its client reads late": {[]record.Event{submit, taken, slept, outcome(3501*ms, 2491*ms)}, true},
+		"read late while it stood":  {[]record.Event{submit, taken, slept, outcome(3500*ms, 900*ms)}, false},
+		"and a moment more":         {[]record.Event{submit, taken, slept, outcome(3501*ms, 900*ms)}, true},
 		"in time, and read late":    {[]record.Event{submit, taken, outcome(2011*ms, 900*ms)}, true},
 	} {
 		if v := Check(c.events, facts()); v.OK() == c.broken {
