--- a/internal/cli/badday.go
+++ b/internal/cli/badday.go
@@ -32,7 +32,7 @@
 func (a *app) baddayCommand() *cobra.Command {
 	var f baddayFlags
 	c := &cobra.Command{
-		Use: "badday [SCRIPT]", Short: "play a bad day on loopback and check the rules on its traffic", Args: cobra.MaximumNArgs(1),
+		Use: "badday [SCRIPT | recovery]", Short: "play a bad day on loopback and check the rules on its traffic", Args: cobra.MaximumNArgs(1),
 		Long: "badday plays a script: a fleet on loopback sockets, clients with load, and troubles at their times. The five\n" +
 			"rules are then checked on what crossed the sockets. --repeat plays it again and again, each time with the next\n" +
 			"seed and in a process of its own; --replay steps a placer's core once more through what one of its lives was\n" +
@@ -45,7 +45,11 @@
 			if f.replay != "" {
 				return a.replayTape(f.replay)
 			}
-			s, err := readScript(name, script.Default)
+			preset := script.Default
+			if name == "recovery" {
+				preset = script.Recovery
+			}
+			s, err := readScript(map[bool]string{false: name}[name == "recovery"], preset)
 			if err != nil {
 				return err
 			}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -18,6 +18,7 @@
 	"forkhead/internal/running/clock"
 	"forkhead/internal/running/netio"
 	"forkhead/internal/running/placerd"
+	"forkhead/internal/running/store"
 	"forkhead/internal/running/submitter"
 	"forkhead/internal/standins/catalogued"
 	"forkhead/internal/standins/hostd"
@@ -47,7 +48,7 @@
 }
 
 func (a *app) serveCommand() *cobra.Command {
-	var config string
+	var config, keep string
 	var self int
 	var grace time.Duration
 	c := &cobra.Command{
@@ -61,16 +62,29 @@
 				return badInput(fmt.Errorf("--self is %d, and the settings name placers 0 to %d", self, len(s.Placers)-1))
 			}
 			c := clock.New()
-			p, err := placerd.Start(placerd.Config{Settings: s.For(self), Clock: c, Log: a.log, Seed: uint64(c.Now())})
+			cfg := placerd.Config{Settings: s.For(self), Clock: c, Log: a.log, Seed: uint64(c.Now())}
+			if keep != "" {
+				if cfg.Store, cfg.Kept, err = store.Open(store.Options{Path: keep}); err != nil {
+					return err
+				}
+				defer cfg.Store.Close()
+			}
+			p, err := placerd.Start(cfg)
 			if err != nil {
 				return err
 			}
 			a.log.WithLevel(a.log.GetLevel()).Int("placer", self).Str("http", p.Address()).Msg("the placer serves")
-			<-cmd.Context().Done()
+			select {
+			case err := <-p.Failed():
+				p.Kill()
+				return err
+			case <-cmd.Context().Done():
+			}
 			p.Stop(grace)
 			return nil
 		},
 	}
+	c.Flags().StringVar(&keep, "store", "", "file to keep in what must not be forgotten (default: nothing is kept)")
 	c.Flags().StringVar(&config, "config", "", "file of settings (default: built-in ones)")
 	c.Flags().IntVar(&self, "self", 0, "which placer of the settings this is")
 	c.Flags().DurationVar(&grace, "grace", 5*time.Second, "how long what is under way may still take at a stop")
--- a/internal/placing/core/api.go
+++ b/internal/placing/core/api.go
@@ -23,6 +23,7 @@
 	Listing struct {
 		Mode  forkhead.ListMode // ListSaved, ListFull or ListFailed
 		Hosts []HostEntry
+		Stale bool // of ListSaved: it is old, and a host counts only once it has greeted
 	}
 	// Dialled says that connection Conn to a host is made.
 	Dialled struct {
--- a/internal/placing/core/hosts.go
+++ b/internal/placing/core/hosts.go
@@ -39,13 +39,14 @@
 	ask    bool                     // the module wants a probe once the connection is up
 	lapse  uint64                   // number of the timer that counts
 
+	stale    bool // named by an old list only: it counts once it has greeted
 	restored bool // known from an earlier life's attempts, and not listed yet
 }
 
 // state is what this placer goes by: the list's word, or the host's own if that is worse.
 func (h *host) state() forkhead.State {
 	switch {
-	case !h.listed:
+	case !h.listed || h.stale:
 		return forkhead.Gone
 	case h.drains:
 		return forkhead.Draining
@@ -119,7 +120,7 @@
 			continue
 		}
 		seen[h] = true
-		h.listed, h.restored, h.entry, h.kind = true, false, entry, kind
+		h.listed, h.restored, h.stale, h.entry, h.kind = true, false, l.Stale && !h.spoken, entry, kind
 		h.zone, h.cell = number(c.zones, entry.Zone), number(c.racks, entry.Rack)
 		h.labels = c.labelsOf(h)
 		c.link(h, hostlink.Input{Kind: hostlink.Listed, Address: entry.Address})
@@ -428,6 +429,10 @@
 // waited for the connection goes out.
 func (c *Core) opened(h *host) {
 	h.ready, h.spoken = true, true
+	if h.stale {
+		h.stale, h.since = false, 0
+		c.tell(forkhead.Update{Mode: forkhead.ListDelta, Machines: []forkhead.Machine{h.machine()}})
+	}
 	var refs []hostproto.Ref
 	for _, t := range h.sortedTries() {
 		switch p := t.phase(); {
--- a/internal/placing/core/restore.go
+++ b/internal/placing/core/restore.go
@@ -74,11 +74,27 @@
 	for i := range k.Attempts {
 		c.restoreAttempt(&k.Attempts[i])
 	}
+	c.savedList(&k.List)
 	for _, w := range held {
 		c.release(w)
 	}
 }
 
+// savedList begins with the list that an earlier life was told last, by its age: so that a placer whose rack restarts while
+// discovery is silent does not sit idle, and one that was away for long does not go by what was. A list from the future
+// shows that a clock was set back: how old it is nobody knows, so its hosts have to greet first.
+func (c *Core) savedList(l *state.List) {
+	age, saved := c.now-l.At, c.set.Saved
+	switch {
+	case len(l.Hosts) == 0:
+		return
+	case age > saved.Old:
+		c.log("the list of hosts that was kept is %v old and is not used; at most %v is", age.Round(time.Second), saved.Old)
+		return
+	}
+	c.listing(Listing{Mode: forkhead.ListSaved, Hosts: l.Hosts, Stale: age < 0 || age > saved.Fresh})
+}
+
 func (c *Core) restoreSubmission(f *state.Followed) {
 	s := &submission{id: f.ID, key: f.Key, body: f.Body, total: f.Total, at: f.At}
 	for _, text := range f.Outcomes {
--- a/internal/proving/badday/badday.go
+++ b/internal/proving/badday/badday.go
@@ -57,7 +57,8 @@
 	P50MS       float64        `json:"p50_ms"` // from submission to a placed outcome
 	P99MS       float64        `json:"p99_ms"`
 	Seconds     float64        `json:"seconds"`
-	Accounts    rules.Accounts `json:"accounts"` // their sum is the tasks
+	Accounts    rules.Accounts `json:"accounts"`          // their sum is the tasks
+	Commits     uint64         `json:"commits,omitempty"` // fsyncs of placers' stores
 	Record      []record.Event `json:"-"`
 	Tapes       []scene.Life   `json:"-"`
 	Verdict     rules.Verdict  `json:"-"`
@@ -150,11 +151,13 @@
 		return nil, fmt.Errorf("the day has more than %d events: a record with a hole proves nothing", mostEvents)
 	}
 	pace := float64(s.Host.Starts) / s.Host.Start.Seconds()
-	v := rules.Check(events, rules.FactsOf(s.Settings, pace))
+	facts := rules.FactsOf(s.Settings, pace)
+	facts.Durable = s.Durable
+	v := rules.Check(events, facts)
 	r := &Result{
 		Rules: map[string]int{}, Vetoes: vetoes, Defects: defects, Tasks: v.Tasks, Outcomes: v.Outcomes, Submissions: int(p.subs.Load()),
 		TurnedAway: int(p.away.Load()), Resent: int(p.resent.Load()), Offers: v.Offers, Refused: v.Refused, HostLives: v.Lives,
-		Accounts: v.Accounts, Tapes: c.Tapes(), Troubles: len(s.Troubles), Events: len(events), Seconds: time.Since(p.start).Seconds(), Record: events, Verdict: v,
+		Accounts: v.Accounts, Commits: c.Commits.Load(), Tapes: c.Tapes(), Troubles: len(s.Troubles), Events: len(events), Seconds: time.Since(p.start).Seconds(), Record: events, Verdict: v,
 		P50MS: float64(p.tracks.v.ValueAtQuantile(50)) / 1000, P99MS: float64(p.tracks.v.ValueAtQuantile(99)) / 1000,
 	}
 	for rule := guard.OneAnswer; rule <= guard.Spread; rule++ {
--- a/internal/proving/rules/rules.go
+++ b/internal/proving/rules/rules.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 // Facts are the figures of the rules.
 type Facts struct {
 	Classes    map[string]Class
+	Durable    bool          // placers keep what they have taken over their death: it excuses nothing
 	Parallel   bool          // two attempts of one ask may be out
 	Running    bool          // a task is bound when it runs, not when it is accepted
 	Grace      time.Duration // of a drain
@@ -129,15 +131,16 @@
 	byKey  map[uint64][]*try
 	bySvc  map[uint64][]*try
 	order  []*try
-	held   map[ref][]record.Event // by the host's life too: named to a life of a placer that greeted
-	deaths map[int][]record.Event // of placers
+	held   map[ref][]record.Event  // by the host's life too: named to a life of a placer that greeted
+	deaths map[int][]record.Event  // of placers
+	ups    map[int][]time.Duration // when their lives began
 }
 
 // Check judges a record.
 func Check(events []record.Event, f Facts) Verdict {
 	c := &checker{
 		f: f, events: slices.Clone(events), places: map[string]place{}, tries: map[ref]*try{}, byKey: map[uint64][]*try{},
-		bySvc: map[uint64][]*try{}, held: map[ref][]record.Event{}, deaths: map[int][]record.Event{},
+		bySvc: map[uint64][]*try{}, held: map[ref][]record.Event{}, deaths: map[int][]record.Event{}, ups: map[int][]time.Duration{},
 	}
 	c.v.Outcomes = map[string]int{}
 	slices.SortStableFunc(c.events, func(a, b record.Event) int { return cmp.Compare(a.At, b.At) })
@@ -192,6 +195,8 @@
 			open[e.Host] = nil
 		case record.Held:
 			c.held[refOf(e)] = append(c.held[refOf(e)], *e)
+		case record.PlacerUp:
+			c.ups[e.Placer] = append(c.ups[e.Placer], e.At)
 		case record.Killed:
 			c.deaths[e.Placer] = append(c.deaths[e.Placer], *e)
 		case record.Gone:
@@ -304,7 +309,8 @@
 			c.breach(guard.OneAnswer, e.At, "an outcome for %s of submission %s, which nobody made", e.Name, e.Submission)
 			continue
 		}
-		cut := s.cut > 0 && s.cut <= e.At
+		// What a stream told that broke is told again: by a cut, or in a later life of a placer that forgets nothing.
+		cut := s.cut > 0 && s.cut <= e.At || c.f.Durable && c.deadAt(s.placer, s.at, e.At)
 		if before, ok := s.told[e.Name]; ok {
 			if before != e.Result || !cut {
 				c.breach(guard.OneAnswer, e.At, "%s of submission %s was told %s and then %s", e.Name, e.Submission, before, e.Result)
@@ -327,7 +333,7 @@
 			c.breach(guard.OneAnswer, e.At, "%s of submission %s was told %v after its owner gave up", e.Name, e.Submission, late.Round(time.Millisecond))
 		}
 		// By the placer's clock there is no way to be late but a step that ran late.
-		if due := s.near + s.within; s.near > 0 && e.Took > s.within+time.Millisecond && !slept(s.placer, due) {
+		if due := s.near + s.within; s.near > 0 && e.Took > s.within+time.Millisecond && !slept(s.placer, due) && !c.deadAt(s.placer, due, due) {
 			c.breach(guard.OneAnswer, e.At, "%s of submission %s was settled %v after its owner gave up", e.Name, e.Submission, e.Took-s.within)
 		}
 	}
@@ -341,7 +347,7 @@
 		due := s.at + s.within
 		dead := false
 		for _, d := range c.deaths[s.placer] {
-			dead = dead || d.At >= s.at && d.At <= due
+			dead = dead || !c.f.Durable && d.At >= s.at && d.At <= due
 		}
 		switch {
 		case missing == 0:
@@ -360,6 +366,26 @@
 	}
 }
 
+// wakes is how long a placer that comes back may take to settle what was due when it was down.
+const wakes = 100 * time.Millisecond
+
+// deadAt says whether a placer was down at some time of an interval.
+func (c *checker) deadAt(placer int, from, to time.Duration) bool {
+	for _, d := range c.deaths[placer] {
+		up := time.Duration(math.MaxInt64)
+		for _, u := range c.ups[placer] {
+			if u > d.At {
+				up = u + wakes
+				break
+			}
+		}
+		if d.At <= to && up >= from {
+			return true
+		}
+	}
+	return false
+}
+
 // nearAnswers notes when placers took submissions, by their own clocks, and returns whether a step
 // of a placer that was due by a time ran after it, and for how long of some time any of them waited for
 // a step that was due: all are of one process.
@@ -370,7 +396,7 @@
 		e := &c.ours[i]
 		switch e.What {
 		case record.Submit:
-			if s := subs[e.Submission]; s != nil {
+			if s := subs[e.Submission]; s != nil && s.near == 0 {
 				s.near = e.At
 			}
 		case record.Late:
--- a/internal/proving/scene/scene.go
+++ b/internal/proving/scene/scene.go
@@ -7,6 +7,8 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +25,7 @@
 	"forkhead/internal/running/netio"
 	"forkhead/internal/running/placerd"
 	"forkhead/internal/running/recorder"
+	"forkhead/internal/running/store"
 	"forkhead/internal/standins/catalogued"
 	"forkhead/internal/standins/hostd"
 	"forkhead/internal/standins/standin"
@@ -37,18 +40,22 @@
 	Catalogue *catalogued.Server
 	Hosts     []*Host
 	Loss      atomic.Uint64 // of messages between placers, in thousandths
+	Commits   atomic.Uint64 // fsyncs of stores that are closed
 	Keep      bool          // the tapes of placers' lives are kept
 
-	log     zerolog.Logger
-	engine  *netio.Engine
-	placers []atomic.Pointer[placerd.Server]
-	vetoes  atomic.Uint64 // of lives that are over
-	defects atomic.Uint64
-	offers  atomic.Uint64
-	lives   []int
-	mu      sync.Mutex // over tapes
-	tapes   []Life
-	breaker Breaker
+	log      zerolog.Logger
+	engine   *netio.Engine
+	placers  []atomic.Pointer[placerd.Server]
+	vetoes   atomic.Uint64 // of lives that are over
+	defects  atomic.Uint64
+	offers   atomic.Uint64
+	lives    []int
+	mu       sync.Mutex // over tapes
+	starting sync.Mutex // over lives of placers
+	tapes    []Life
+	folder   string // of the stores
+	stores   []*store.Store
+	breaker  Breaker
 }
 
 // Breaker stands in a placer's module's place, to prove that what it does is caught.
@@ -100,6 +107,13 @@
 	c.Settings = &set
 	c.placers = make([]atomic.Pointer[placerd.Server], len(set.Placers))
 	c.lives = make([]int, len(set.Placers))
+	c.stores = make([]*store.Store, len(set.Placers))
+	if c.Script.Durable {
+		var err error
+		if c.folder, err = os.MkdirTemp("", "forkhead-scene-"); err != nil {
+			return err
+		}
+	}
 	for gi := range c.Script.Hosts {
 		g := &c.Script.Hosts[gi]
 		for i := range g.Count {
@@ -168,6 +182,11 @@
 
 // StartPlacer begins a life of a placer.
 func (c *Scene) StartPlacer(i int) error {
+	c.starting.Lock()
+	defer c.starting.Unlock()
+	if c.placers[i].Load() != nil {
+		return nil // it lives: of two troubles that overlapped only one had killed it
+	}
 	set := c.Settings.For(i)
 	c.lives[i]++
 	cfg := placerd.Config{
@@ -175,6 +194,15 @@
 		Epoch: uint64(c.Clock.Now().Microseconds()),
 		Drop:  func(int) bool { return rand.Uint64N(1000) < c.Loss.Load() },
 	}
+	if c.Script.Durable {
+		st, kept, err := store.Open(store.Options{Path: filepath.Join(c.folder, fmt.Sprintf("placer-%d.db", i))})
+		if err != nil {
+			return err
+		}
+		cfg.Store, cfg.Kept = st, kept
+		cfg.Epoch = max(cfg.Epoch, kept.Epoch+1)
+		c.stores[i] = st
+	}
 	if c.Log != nil {
 		cfg.Tap = c.tap(i, cfg.Seed, cfg.Epoch)
 	}
@@ -211,7 +239,7 @@
 	base := record.Event{Near: true, Placer: placer, PlacerEpoch: epoch}
 	var w *tape.Writer
 	if c.Keep {
-		w = tape.NewWriter(tape.Head{File: c.Script.File, Script: c.Script.Text, Placer: placer, Seed: seed, Epoch: epoch}, MostTape)
+		w = tape.NewWriter(tape.Head{Durable: c.Script.Durable, File: c.Script.File, Script: c.Script.Text, Placer: placer, Seed: seed, Epoch: epoch}, MostTape)
 		c.mu.Lock()
 		c.tapes = append(c.tapes, Life{Placer: placer, Life: c.lives[placer], Writer: w})
 		c.mu.Unlock()
@@ -238,12 +266,22 @@
 
 // KillPlacer ends a placer's life as kill -9 would.
 func (c *Scene) KillPlacer(i int) {
+	c.starting.Lock()
+	defer c.starting.Unlock()
 	p := c.placers[i].Swap(nil)
 	if p == nil {
 		return
 	}
 	c.keep(p)
 	p.Kill()
+	if st := c.stores[i]; st != nil {
+		// What waits is lost, as with the process.
+		if err := st.Kill(); err != nil {
+			c.log.Error().Err(err).Msg("a store does not close")
+		}
+		c.Commits.Add(uint64(st.Commits))
+		c.stores[i] = nil
+	}
 	c.Log.Add(record.Event{At: c.Clock.Now(), What: record.Killed, Placer: i, PlacerEpoch: p.Epoch()})
 }
 
@@ -292,6 +330,16 @@
 		if p := c.placers[i].Swap(nil); p != nil {
 			p.Kill()
 		}
+		if st := c.stores[i]; st != nil {
+			c.stores[i] = nil
+			if err := st.Close(); err != nil {
+				c.log.Error().Err(err).Msg("a store does not close")
+			}
+			c.Commits.Add(uint64(st.Commits))
+		}
+	}
+	if c.folder != "" {
+		_ = os.RemoveAll(c.folder) // a folder for temporary files
 	}
 	for _, h := range c.Hosts {
 		h.Stop()
--- a/internal/proving/script/script.go
+++ b/internal/proving/script/script.go
@@ -18,6 +18,12 @@
 //go:embed badday.sexp
 var Default []byte
 
+// Recovery is a day on which placers are killed again and again and discovery is silent when they come back; they keep
+// what they must not forget.
+//
+//go:embed recovery.sexp
+var Recovery []byte
+
 // Calm is the fleet that try places on.
 //
 //go:embed calm.sexp
@@ -30,6 +36,7 @@
 	Settings  *settings.Settings
 	Seed      int
 	Length    time.Duration // load and troubles
+	Durable   bool          // placers keep what must not be forgotten over their death
 	Settle    time.Duration // after it, for what is still open
 	Hosts     []Group
 	Catalogue Catalogue
@@ -191,6 +198,7 @@
 		"settings": func(f *sexp.Node) error { own = f; return nil },
 		"seed":     sexp.Int(&s.Seed, 0, 1<<30),
 		"length":   sexp.Duration(&s.Length, 100*time.Millisecond, day),
+		"durable":  sexp.Bool(&s.Durable),
 		"settle":   sexp.Duration(&s.Settle, 0, time.Hour),
 		"hosts":    r.hosts,
 		"host": func(f *sexp.Node) error {
--- a/internal/proving/tape/tape.go
+++ b/internal/proving/tape/tape.go
@@ -32,6 +32,7 @@
 	Placer  int
 	Seed    uint64
 	Epoch   uint64
+	Durable bool // the core told what must not be forgotten
 }
 
 // Step is one step of the core.
@@ -46,7 +47,7 @@
 	// gob wants the types that stand behind an interface named: by words of the tape's own, so that a
 	// tape outlives a move of a package.
 	for _, v := range []any{
-		core.Listing{}, core.Dialled{}, core.Broke{}, core.FromHost{}, core.Submit{}, core.Remove{}, core.FromPlacer{},
+		core.Listing{}, core.Dialled{}, core.Broke{}, core.FromHost{}, core.Submit{}, core.Remove{}, core.Restore{}, core.FromPlacer{},
 		hostproto.Welcome{}, hostproto.Holds{}, hostproto.Refused{}, hostproto.Accepted{}, hostproto.Running{}, hostproto.Note{},
 		hostproto.Ended{}, hostproto.Probed{}, hostproto.Drain{}, hostproto.Bye{}, hostproto.Hello{}, hostproto.Offer{},
 		hostproto.Withdraw{}, hostproto.Stop{}, hostproto.Probe{}, hostproto.Query{},
@@ -155,7 +156,7 @@
 	if p.Head.Placer < 0 || p.Head.Placer >= len(set.Placers) {
 		return nil, fmt.Errorf("the tape is of placer %d, which its script does not have", p.Head.Placer)
 	}
-	c, err := core.New(core.Config{Settings: set.For(p.Head.Placer), Seed: p.Head.Seed, Epoch: p.Head.Epoch})
+	c, err := core.New(core.Config{Settings: set.For(p.Head.Placer), Seed: p.Head.Seed, Epoch: p.Head.Epoch, Durable: p.Head.Durable})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/reading/settings/settings.go
+++ b/internal/reading/settings/settings.go
@@ -33,6 +33,13 @@
 	Owner     Owner
 	Links     Links
 	Limits    Limits
+	Saved     Saved
+}
+
+// Saved says what a list of hosts kept on disk is worth to a placer that starts.
+type Saved struct {
+	Fresh time.Duration // as good as one from the catalogue up to this age
+	Old   time.Duration // of no use beyond it; between the two a host counts once it has greeted
 }
 
 // Class is what the service knows of a class beside what the module does.
@@ -179,6 +186,7 @@
 		Pace: 200 * time.Millisecond,
 	}
 	r.s.Owner = Owner{First: time.Second, Most: 15 * time.Second, Soon: 100 * time.Millisecond, Asks: 100, Lives: 1000}
+	r.s.Saved = Saved{Fresh: time.Minute, Old: 24 * time.Hour}
 	r.s.Links = Links{
 		Connect: time.Second, First: 100 * time.Millisecond, Most: 3 * time.Second, LostAfter: 3 * time.Second,
 		Probe: time.Second,
@@ -254,6 +262,10 @@
 			"lost-after": sexp.Duration(&r.s.Links.LostAfter, 0, time.Hour),
 			"probe":      sexp.Duration(&r.s.Links.Probe, time.Millisecond, time.Minute),
 		}),
+		"saved-list": r.group(map[string]sexp.Field{
+			"fresh": sexp.Duration(&r.s.Saved.Fresh, 0, 24*time.Hour),
+			"old":   sexp.Duration(&r.s.Saved.Old, 0, 365*24*time.Hour),
+		}),
 		"catalogue": r.group(map[string]sexp.Field{
 			"address": r.address(&r.s.Catalogue.Address),
 			"service": sexp.Text(&r.s.Catalogue.Service),
--- a/internal/running/placerd/placerd.go
+++ b/internal/running/placerd/placerd.go
@@ -14,6 +14,7 @@
 
 	"forkhead"
 	"forkhead/internal/placing/core"
+	"forkhead/internal/placing/state"
 	"forkhead/internal/planning/plan"
 	"forkhead/internal/protocol/hostproto"
 	"forkhead/internal/reading/settings"
@@ -21,6 +22,7 @@
 	"forkhead/internal/running/listwatch"
 	"forkhead/internal/running/loop"
 	"forkhead/internal/running/netio"
+	"forkhead/internal/running/store"
 )
 
 // Config is what a placer runs with.
@@ -34,6 +36,10 @@
 	// inputs in the order in which they came and its outputs in the order in which they go out. It
 	// must keep none of them. nil: nobody looks.
 	Tap func(now, due time.Duration, in []core.Input, out []core.Output)
+	// Store keeps what must not be forgotten, and Kept is what an earlier life left in it; nil: nothing is kept. The
+	// caller closes the store when the placer has stopped.
+	Store *store.Store
+	Kept  *state.Kept
 	// Drop loses a message from another placer, for tests; nil: none.
 	Drop func(from int) bool
 	// Decide stands in the module's place, for tests of the guard and the checker.
@@ -57,6 +63,8 @@
 	core   *core.Core
 
 	inputs []core.Input         // of the batch in hand
+	lazyBy time.Duration        // when what nothing waits for is written at the latest; 0: nothing is
+	failed chan error           // takes the store's error
 	due    time.Duration        // when the core asked to be stepped; 0: not
 	links  map[string]*hostConn // by host
 	dirty  []*hostConn
@@ -87,7 +95,11 @@
 	if cfg.Epoch == 0 {
 		cfg.Epoch = uint64(cfg.Clock.Now().Microseconds())
 	}
-	c, err := core.New(core.Config{Settings: set, Seed: cfg.Seed, Epoch: cfg.Epoch, Decide: cfg.Decide})
+	if cfg.Kept != nil {
+		// Guards against a clock that was set back: hosts refuse an earlier life.
+		cfg.Epoch = max(cfg.Epoch, cfg.Kept.Epoch+1)
+	}
+	c, err := core.New(core.Config{Settings: set, Seed: cfg.Seed, Epoch: cfg.Epoch, Decide: cfg.Decide, Durable: cfg.Store != nil})
 	if err != nil {
 		return nil, err
 	}
@@ -97,12 +109,15 @@
 	}
 	s := &Server{
 		cfg: cfg, set: set, log: cfg.Log.With().Int("placer", self).Logger(), clock: cfg.Clock, engine: engine, core: c,
-		judging: make(chan struct{}, mostJudged), links: map[string]*hostConn{}, follows: map[string]map[*stream]bool{}, await: map[uint64]*exchange{},
+		failed: make(chan error, 1), judging: make(chan struct{}, mostJudged), links: map[string]*hostConn{}, follows: map[string]map[*stream]bool{}, await: map[uint64]*exchange{},
 	}
 	if err := s.listen(self); err != nil {
 		engine.Stop()
 		return nil, err
 	}
+	if cfg.Kept != nil {
+		s.put(core.Restore{Kept: cfg.Kept})
+	}
 	s.loop = loop.New(cfg.Clock, mostJobs, s.step)
 	s.loop.Start()
 	s.wait.Add(1)
@@ -187,6 +202,9 @@
 	if s.cfg.Tap != nil {
 		s.cfg.Tap(now, s.due, in, out)
 	}
+	if !s.keep(now, out) {
+		return 0, false
+	}
 	for _, o := range out {
 		s.carry(o)
 	}
@@ -203,9 +221,58 @@
 	if ok {
 		s.due = next
 	}
+	if s.lazyBy > 0 && (!ok || s.lazyBy < next) {
+		return s.lazyBy, true
+	}
 	return next, ok
 }
 
+// lazily is how long a note that nothing waits for may stay in memory.
+const lazily = 50 * time.Millisecond
+
+// keep makes a step's notes durable, with one fsync, before anything of the step leaves. Where the disk fails, nothing
+// leaves any more: what this life has said and what the next begins with must not part. The placer ends.
+func (s *Server) keep(now time.Duration, out []core.Output) bool {
+	st := s.cfg.Store
+	if st == nil {
+		return true
+	}
+	select {
+	case err := <-s.failed:
+		s.failed <- err
+		return false
+	default:
+	}
+	var notes []state.Note
+	for _, o := range out {
+		if k, ok := o.(core.Keep); ok {
+			notes = append(notes, k.Note)
+		}
+	}
+	var err error
+	if len(notes) > 0 {
+		err = st.Keep(notes)
+	}
+	if err == nil && s.lazyBy > 0 && now >= s.lazyBy {
+		err = st.Flush()
+	}
+	if err != nil {
+		s.log.Error().Err(err).Msg("what must not be forgotten cannot be kept; this placer ends")
+		s.failed <- err
+		s.stopping.Store(true)
+		return false
+	}
+	if !st.Pending() {
+		s.lazyBy = 0
+	} else if s.lazyBy == 0 {
+		s.lazyBy = now + lazily
+	}
+	return true
+}
+
+// Failed gives the store's error that has ended this placer. Kill it then.
+func (s *Server) Failed() <-chan error { return s.failed }
+
 func (s *Server) carry(o core.Output) {
 	switch o := o.(type) {
 	case core.ToHost:
@@ -239,6 +306,7 @@
 		for st := range s.follows[o.Submission] {
 			s.pump(st)
 		}
+	case core.Keep: // by keep
 	case core.Logged:
 		if o.Defect {
 			s.log.Error().Msg(o.Text)
