--- a/internal/proving/rules/near.go
+++ b/internal/proving/rules/near.go
@@ -181,6 +181,11 @@
 	case record.Offer:
 		s = n.add(e, r)
 		n.offered(e, s)
+		if h := n.host(e.Host); !h.up || e.Conn != h.conn {
+			// Its connection has ended in the same step, and is noted among what had come: it went out
+			// before. Guards against an offer that nothing would ever end.
+			s.stand = mayRun
+		}
 	}
 }
 
--- a/internal/proving/rules/rules_test.go
+++ b/internal/proving/rules/rules_test.go
@@ -99,6 +99,8 @@
 		"keyed a moment behind it":       {[]record.Event{near(10*ms, record.Offer, "a", "keyed", 1, 1, 0), near(11*ms, record.Gone, "a", "", 0, 0, 0), near(5011*ms, record.Offer, "c", "keyed", 1, 1, 1)}, guard.NoRepeat},
 		"unsafe, off an older connection": {[]record.Event{near(10*ms, record.Offer, "a", "unsafe", 1, 1, 0), near(11*ms, record.Gone, "a", "", 0, 0, 0), near(12*ms, record.Refused, "a", "", 1, 1, 0),
 			near(13*ms, record.Offer, "b", "unsafe", 1, 2, 0)}, guard.NoRepeat},
+		"out on a connection that ends in the same step": {[]record.Event{near(10*ms, record.Gone, "a", "", 0, 0, 0), near(10*ms, record.Offer, "a", "safe", 1, 1, 0),
+			near(10*ms, record.Offer, "b", "safe", 1, 1, 1)}, none},
 		"at the end of the grace":   {[]record.Event{drained, near(350*ms, record.Offer, "a", "safe", 1, 1, 0)}, none},
 		"a moment after the grace":  {[]record.Event{drained, near(351*ms, record.Offer, "a", "safe", 1, 1, 0)}, guard.Drain},
 		"a moment after, by a word": {[]record.Event{word, near(351*ms, record.Offer, "a", "safe", 1, 1, 0)}, guard.Drain},
