--- a/internal/running/store/store.go
+++ b/internal/running/store/store.go
@@ -3,10 +3,15 @@
 package store
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
-	"io/fs"
+	"maps"
 	"os"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strings"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -16,10 +21,9 @@
 
 // Options say where the file is, and stand in for the disk in tests.
 type Options struct {
-	Path     string
-	Most     int64                                            // bytes of the file at which notes are refused; 0: DefaultMost
-	OpenFile func(string, int, fs.FileMode) (*os.File, error) // nil: os.OpenFile
-	Aside    func(now time.Time) string                       // what a broken file's name ends with; nil: by the time
+	Path  string
+	Most  int64                      // bytes of the file at which notes are refused; 0: DefaultMost
+	Aside func(now time.Time) string // what a broken file's name ends with; nil: by the time
 }
 
 // DefaultMost bounds a file.
@@ -33,6 +37,7 @@
 	Notes   int
 	Aside   string // where a file that could not be read was put; "": none was
 	lazy    []state.Change
+	counts  map[string]int // keys by bucket
 }
 
 // ErrFull says that the file has come to its bound.
@@ -73,48 +78,82 @@
 	return s, kept, nil
 }
 
-func (s *Store) open() (kept *state.Kept, err error) {
-	// bbolt takes a page that makes no sense for a fault of the program.
-	defer func() {
-		if r := recover(); r != nil {
-			if s.db != nil {
-				_ = s.db.Close()
-				s.db = nil
-			}
-			err = fmt.Errorf("unreadable: %v", r)
-		}
-	}()
-	db, err := bbolt.Open(s.opt.Path, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType, OpenFile: s.opt.OpenFile})
+// open reads the file through, page by page and value by value, before it is written to; then all of it goes into a fresh
+// file that takes its place. So a page that makes no sense is found here and not when it is written over, and the space of
+// what is gone is given back at each start.
+func (s *Store) open() (*state.Kept, error) {
+	var l state.Loader
+	fresh := s.opt.Path + ".new"
+	if err := os.Remove(fresh); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err // of a start that was cut short
+	}
+	db, err := bbolt.Open(fresh, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType, NoSync: true})
 	if err != nil {
 		return nil, err
 	}
-	s.db = db
-	var l state.Loader
+	s.counts = map[string]int{}
 	err = db.Update(func(tx *bbolt.Tx) error {
-		for _, name := range state.Buckets {
-			b, err := tx.CreateBucketIfNotExists([]byte(name))
-			if err != nil {
-				return err
-			}
-			if err := b.ForEach(func(k, v []byte) error {
-				l.Add(name, string(k), v)
-				return nil
-			}); err != nil {
+		for _, name := range append([]string{meta}, state.Buckets...) {
+			if _, err := tx.CreateBucket([]byte(name)); err != nil {
 				return err
 			}
 		}
-		// Pages that nothing points to rightly would be found only when they are written over.
-		for err := range tx.Check() {
+		if _, err := os.Stat(s.opt.Path); errors.Is(err, os.ErrNotExist) {
+			return s.count(tx)
+		}
+		if err := Each(s.opt.Path, func(bucket, key string, value []byte) error {
+			l.Add(bucket, key, value)
+			if _, _, err := state.Open(value); err != nil {
+				return nil // it is named, and goes no further
+			}
+			s.counts[bucket]++
+			return tx.Bucket([]byte(bucket)).Put([]byte(key), value)
+		}); err != nil {
 			return err
 		}
-		return nil
+		return s.count(tx)
 	})
-	if err != nil {
-		_ = db.Close()
-		s.db = nil
+	if err == nil {
+		err = db.Sync()
+	}
+	if err = errors.Join(err, db.Close()); err != nil {
+		_ = os.Remove(fresh)
 		return nil, err
 	}
-	return l.Kept(), nil
+	if err := os.Rename(fresh, s.opt.Path); err != nil {
+		return nil, err
+	}
+	if dir, err := os.Open(filepath.Dir(s.opt.Path)); err == nil { // so that the name is durable, too
+		err = errors.Join(dir.Sync(), dir.Close())
+		if err != nil {
+			return nil, err
+		}
+	}
+	s.db, err = bbolt.Open(s.opt.Path, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType})
+	return l.Kept(), err
+}
+
+// meta is the bucket of how many keys each other has: a page that lost some of its own has no other sign of it.
+const meta = "meta"
+
+func (s *Store) count(tx *bbolt.Tx) error {
+	text, err := json.Marshal(s.counts)
+	if err != nil {
+		return err
+	}
+	return tx.Bucket([]byte(meta)).Put([]byte("counts"), state.Seal(text))
+}
+
+// guarded turns what bbolt does with a page that makes no sense into an error: a panic, or a fault where the page points
+// outside the file, which is mapped into memory. Guards against a torn file that would end the process, found by cutting one.
+func guarded(err *error) func() {
+	before := debug.SetPanicOnFault(true)
+	return func() {
+		debug.SetPanicOnFault(before)
+		if r := recover(); r != nil {
+			*err = fmt.Errorf("unreadable: %v", r)
+		}
+	}
 }
 
 // Keep makes notes durable. Those that nothing has to wait for are written with the next that something waits for, or by
@@ -147,6 +186,7 @@
 
 func (s *Store) write(changes []state.Change) error {
 	var size int64
+	counts := maps.Clone(s.counts)
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		if size = tx.Size(); size >= s.opt.Most {
 			grows := false
@@ -160,14 +200,15 @@
 		// What waited comes first: it was noted first.
 		for _, list := range [][]state.Change{s.lazy, changes} {
 			for _, c := range list {
-				if err := apply(tx, c); err != nil {
+				if err := s.apply(tx, c); err != nil {
 					return err
 				}
 			}
 		}
-		return nil
+		return s.count(tx)
 	})
 	if err != nil {
+		s.counts = counts
 		return fmt.Errorf("store %s: %w", s.opt.Path, err)
 	}
 	s.Commits++
@@ -175,19 +216,28 @@
 	return nil
 }
 
-func apply(tx *bbolt.Tx, c state.Change) error {
+func (s *Store) apply(tx *bbolt.Tx, c state.Change) error {
 	b := tx.Bucket([]byte(c.Bucket))
+	drop := func(key []byte) error {
+		if b.Get(key) != nil {
+			s.counts[c.Bucket]--
+		}
+		return b.Delete(key)
+	}
 	switch {
 	case c.All:
 		cur := b.Cursor()
-		for k, _ := cur.Seek([]byte(c.Key)); k != nil && len(k) >= len(c.Key) && string(k[:len(c.Key)]) == c.Key; k, _ = cur.Seek([]byte(c.Key)) {
-			if err := b.Delete(k); err != nil {
+		for k, _ := cur.Seek([]byte(c.Key)); strings.HasPrefix(string(k), c.Key); k, _ = cur.Seek([]byte(c.Key)) {
+			if err := drop(slices.Clone(k)); err != nil {
 				return err
 			}
 		}
 		return nil
 	case c.Value == nil:
-		return b.Delete([]byte(c.Key))
+		return drop([]byte(c.Key))
+	}
+	if b.Get([]byte(c.Key)) == nil {
+		s.counts[c.Bucket]++
 	}
 	return b.Put([]byte(c.Key), c.Value)
 }
@@ -224,25 +274,44 @@
 	return before, after, nil
 }
 
-// Each calls f for every key of a file that is not in use, in order.
-func Each(path string, f func(bucket, key string, value []byte) error) error {
+// Each calls f for every key of a file that is not in use, in order, and then checks that none is missing.
+func Each(path string, f func(bucket, key string, value []byte) error) (err error) {
+	defer guarded(&err)()
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: lockWait})
 	if err != nil {
 		return fmt.Errorf("store %s: %w", path, err)
 	}
 	defer db.Close()
 	return db.View(func(tx *bbolt.Tx) error {
+		want, found := map[string]int{}, 0
+		if b := tx.Bucket([]byte(meta)); b != nil {
+			text, _, err := state.Open(b.Get([]byte("counts")))
+			if err != nil {
+				return fmt.Errorf("store %s: its counts: %w", path, err)
+			}
+			if err := json.Unmarshal(text, &want); err != nil {
+				return fmt.Errorf("store %s: its counts: %w", path, err)
+			}
+		}
 		for _, name := range state.Buckets {
 			b := tx.Bucket([]byte(name))
 			if b == nil {
 				return fmt.Errorf("store %s has no bucket %s", path, name)
 			}
-			if err := b.ForEach(func(k, v []byte) error { return f(name, string(k), v) }); err != nil {
+			found = 0
+			last := ""
+			if err := b.ForEach(func(k, v []byte) error {
+				if found++; found > 1 && string(k) <= last {
+					return fmt.Errorf("store %s: the keys of %s are not in order", path, name)
+				}
+				last = string(k)
+				return f(name, last, slices.Clone(v))
+			}); err != nil {
 				return err
 			}
-		}
-		for err := range tx.Check() {
-			return fmt.Errorf("store %s: %w", path, err)
+			if found != want[name] {
+				return fmt.Errorf("store %s: %s has %d keys of %d", path, name, found, want[name])
+			}
 		}
 		return nil
 	})
