--- /dev/null
+++ b/internal/placing/core/saved_test.go
@@ -0,0 +1,107 @@
+package core_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"forkhead/internal/placing/core"
+	"forkhead/internal/placing/state"
+	"forkhead/internal/proving/lives"
+)
+
+// back runs a durable placer until it has a list, then kills it with discovery silent, lets time pass, and begins another
+// life. h0 has left meanwhile.
+func back(t *testing.T, away time.Duration) *lives.Sim {
+	t.Helper()
+	s := lives.NewDurable(t, lives.Settings(t, "(saved-list (fresh 10s) (old 1h))"), 4)
+	s.Run(3 * time.Second)
+	s.List() // noted
+	s.Submit("k", "name: first\nservices: {a: {x-forkhead: {class: web, life: 1s}, restart: 'no'}}")
+	s.Run(5 * time.Second)
+	s.ListUp = false
+	s.Kill("h0")
+	if away < 0 { // a clock that was set back, seen from the list
+		list := s.Disk.Kept().List
+		list.At = s.Now - away
+		s.Disk.Keep([]state.Note{state.Listed{List: list}, state.Began{Epoch: s.Epoch}})
+		away = time.Second
+	}
+	s.Now += away
+	s.Offers = nil
+	s.Restart()
+	return s
+}
+
+// A placer that comes back while discovery is silent places by the list that was kept, and sends nothing to the host that is
+// gone; whether the list is young or old, and where a clock was set back.
+func TestStartsWithoutDiscovery(t *testing.T) {
+	for name, away := range map[string]time.Duration{"young": time.Second, "old": 30 * time.Minute, "of the future": -30 * time.Minute} {
+		t.Run(name, func(t *testing.T) { startsAlone(t, away) })
+	}
+}
+
+func startsAlone(t *testing.T, away time.Duration) {
+	s := back(t, away)
+	out := s.Await(s.Submit("k2", "name: second\nservices: {a: {x-forkhead: {class: ledger}, deploy: {replicas: 4}}}"), 20*time.Second)
+	if lives.Count(out, core.WordPlaced) != 4 {
+		t.Errorf("%+v", out)
+	}
+	for _, o := range s.Offers {
+		if o.Host == "h0" {
+			t.Errorf("an offer to a host that is gone")
+		}
+	}
+	s.Clean()
+}
+
+// Old entries count only once their host has greeted; a list that is too old is refused, with how old it is.
+func TestOldListIsRefused(t *testing.T) {
+	s := back(t, 2*time.Hour)
+	s.Run(2 * time.Second)
+	if st := s.Core.Status(); st.Ready != 0 || !strings.Contains(strings.Join(s.Logs, "\n"), "the list of hosts that was kept is 2h0m") {
+		t.Fatalf("%d hosts are ready; logs %v", st.Ready, s.Logs)
+	}
+	s.ListUp = true
+	s.Run(2 * time.Second)
+	s.List()
+	s.Run(time.Second)
+	if s.Core.Status().Ready == 0 {
+		t.Fatal("a list from the catalogue is not taken")
+	}
+	s.Clean()
+}
+
+// A description, its outcomes and its key outlive the placer; what was removed stays removed, and is stopped where it shows.
+func TestNothingForgotten(t *testing.T) {
+	s := lives.NewDurable(t, lives.Settings(t, ""), 4)
+	text := "name: p\nservices: {a: {x-forkhead: {class: ledger}, deploy: {replicas: 2}}}"
+	id := s.Submit("key", text)
+	before := s.Await(id, 5*time.Second)
+	gone := s.Submit("other", "name: q\nservices: {b: {x-forkhead: {class: web}}}")
+	s.Await(gone, 5*time.Second)
+	s.Cut("h0")
+	for _, name := range s.Names {
+		s.Hosts[name].Mute = true // the stop of q does not arrive
+	}
+	s.Step(core.Remove{Request: 3, Project: "q"})
+	s.Restart()
+	for _, name := range s.Names {
+		s.Hosts[name].Mute = false
+	}
+	s.Offers = nil
+	s.Run(10 * time.Second)
+	after := s.Await(id, time.Second)
+	for name, o := range before {
+		if after[name] != o {
+			t.Errorf("%s was told %+v and is %+v", name, o, after[name])
+		}
+	}
+	if again := s.Submit("key", text); again != id {
+		t.Errorf("the same key made another submission, %s", again)
+	}
+	if len(s.Offers) != 0 || s.Running() != 2 {
+		t.Errorf("%d offers, %d tasks run; want none, and the two that ran before", len(s.Offers), s.Running())
+	}
+	s.Clean()
+}
