--- a/internal/placing/core/asks.go
+++ b/internal/placing/core/asks.go
@@ -81,9 +81,7 @@
 	k, h := c.asks[a.Task], c.byID[a.Machine]
 	if gone := c.left[a.Task]; gone != nil {
 		// The module ruled before it heard that nobody waits any more: that is no fault of its.
-		n := gone.Skip(c.now, attempt.Host(a.Machine))
-		gone.tries = append(gone.tries, nil)
-		c.tell(forkhead.Outcome{Task: a.Task, Attempt: n, Machine: a.Machine, Result: forkhead.Moot, Final: true})
+		c.skip(gone, a, true)
 		return
 	}
 	if k == nil || h == nil {
@@ -91,9 +89,7 @@
 		return
 	}
 	if c.harmful(k) {
-		n := k.Skip(c.now, attempt.Host(h.id))
-		k.tries = append(k.tries, nil)
-		c.tell(forkhead.Outcome{Task: a.Task, Attempt: n, Machine: a.Machine, Result: forkhead.Moot})
+		c.skip(k, a, false)
 		return
 	}
 	v := guard.MayOffer(c.now, &guard.Offer{
@@ -113,9 +109,7 @@
 	})
 	if v != nil {
 		c.veto(v, "offer of %s to %s", k.wish.name, h.name)
-		n := k.Skip(c.now, attempt.Host(h.id))
-		k.tries = append(k.tries, nil)
-		c.tell(forkhead.Outcome{Task: a.Task, Attempt: n, Machine: a.Machine, Result: forkhead.Moot})
+		c.skip(k, a, false)
 		return
 	}
 	t := &try{ask: k, number: k.Offer(c.now, attempt.Host(h.id)), host: h, machine: a.Machine}
@@ -138,6 +132,13 @@
 	}
 }
 
+// skip tells the module that an offer was not sent, and keeps the numbers of attempts in step with its own.
+func (c *Core) skip(k *ask, a forkhead.Offer, final bool) {
+	n := k.Skip(c.now, attempt.Host(a.Machine))
+	k.tries = append(k.tries, nil)
+	c.tell(forkhead.Outcome{Task: a.Task, Attempt: n, Machine: a.Machine, Result: forkhead.Moot, Final: final})
+}
+
 // others runs over the hosts of a service's live attempts but one.
 func (c *Core) others(service uint64, but *try) func(yield func(*guard.Host) bool) {
 	return func(yield func(*guard.Host) bool) {
--- a/internal/placing/core/inherit.go
+++ b/internal/placing/core/inherit.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"forkhead/internal/placing/attempt"
 	"forkhead/internal/placing/owner"
@@ -88,16 +89,23 @@
 // host says that it is over it may run, whether the Stop arrives or not: what must not run twice is
 // not begun before. Guards against a Stop that is lost with its connection, found by random lives.
 func (c *Core) unwanted(w *wish, h *host, held *hostproto.Held) {
+	// It began nobody knows when: no window of its key is left.
+	t := c.suspect(w, h, held.Ref, h.link.Epoch, c.now-c.rules(w.class).Window)
+	t.conn = h.link.Conn
+	c.send(h, hostproto.Stop{Ref: held.Ref})
+}
+
+// suspect takes up an attempt that an earlier life made at a time: until its host says what became of it, it may run.
+func (c *Core) suspect(w *wish, h *host, ref hostproto.Ref, life uint64, at time.Duration) *try {
 	k := c.newAsk(w)
 	k.Answer = attempt.Gave
-	// It began nobody knows when: no window of its key is left.
-	k.Attempts = []attempt.Attempt{{Host: attempt.Host(h.id), Phase: attempt.Unknown, At: c.now - k.Rules.Window}}
-	t := &try{ask: k, host: h, machine: h.id, ref: held.Ref, hostEpoch: h.link.Epoch, conn: h.link.Conn}
+	k.Attempts = []attempt.Attempt{{Host: attempt.Host(h.id), Phase: attempt.Unknown, At: at}}
+	t := &try{ask: k, host: h, machine: h.id, ref: ref, hostEpoch: life}
 	k.tries = []*try{t}
 	c.index(t)
 	if c.unknown[w.key] == nil {
 		c.unknown[w.key] = map[*try]bool{}
 	}
 	c.unknown[w.key][t] = true
-	c.send(h, hostproto.Stop{Ref: held.Ref})
+	return t
 }
--- a/internal/placing/core/restore.go
+++ b/internal/placing/core/restore.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"forkhead"
-	"forkhead/internal/placing/attempt"
 	"forkhead/internal/placing/state"
 	"forkhead/internal/protocol/hostproto"
 	"forkhead/internal/reading/description"
@@ -192,14 +191,5 @@
 		c.byID[h.id] = h
 	}
 	h.link.Epoch = max(h.link.Epoch, a.Life)
-	k := c.newAsk(w)
-	k.Answer = attempt.Gave
-	k.Attempts = []attempt.Attempt{{Host: attempt.Host(h.id), Phase: attempt.Unknown, At: a.At}}
-	t := &try{ask: k, host: h, machine: h.id, ref: a.Ref, hostEpoch: a.Life, noted: true}
-	k.tries = []*try{t}
-	c.index(t)
-	if c.unknown[w.key] == nil {
-		c.unknown[w.key] = map[*try]bool{}
-	}
-	c.unknown[w.key][t] = true
+	c.suspect(w, h, a.Ref, a.Life, a.At).noted = true
 }
