--- a/internal/running/store/store.go
+++ b/internal/running/store/store.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"forkhead/internal/placing/state"
 )
@@ -57,7 +58,7 @@
 	if err == nil {
 		return s, kept, nil
 	}
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, nil, fmt.Errorf("store %s: another process has it open: %w", opt.Path, err)
 	}
 	if _, serr := os.Stat(opt.Path); serr != nil {
