Read over: one drain word, one checksum, a count that nobody read

The reading of a placer's sockets took a host's word that it drains in two places, sealing and opening a value each wrote the checksum out, badday chose its script through a map, and the store counted notes that nothing reads.

--- a/internal/cli/badday.go
+++ b/internal/cli/badday.go
@@ -45,11 +45,11 @@
 			if f.replay != "" {
 				return a.replayTape(f.replay)
 			}
-			preset := script.Default
+			from, preset := name, script.Default
 			if name == "recovery" {
-				preset = script.Recovery
+				from, preset = "", script.Recovery
 			}
-			s, err := readScript(map[bool]string{false: name}[name == "recovery"], preset)
+			s, err := readScript(from, preset)
 			if err != nil {
 				return err
 			}
--- a/internal/placing/state/state.go
+++ b/internal/placing/state/state.go
@@ -208,10 +208,13 @@
 	b := make([]byte, 5, 5+len(text))
 	b[0] = Version
 	b = append(b, text...)
-	binary.BigEndian.PutUint32(b[1:], crc32.Update(crc32.Checksum(b[:1], table), table, text))
+	binary.BigEndian.PutUint32(b[1:], sum(b))
 	return b
 }
 
+// sum is over a sealed value's version and text.
+func sum(b []byte) uint32 { return crc32.Update(crc32.Checksum(b[:1], table), table, b[5:]) }
+
 // Why a value is not read.
 var (
 	ErrSum   = errors.New("the checksum does not hold")
@@ -220,7 +223,7 @@
 
 // Open returns what a value holds, and its version.
 func Open(b []byte) (text []byte, version int, err error) {
-	if len(b) < 5 || binary.BigEndian.Uint32(b[1:]) != crc32.Update(crc32.Checksum(b[:1], table), table, b[5:]) {
+	if len(b) < 5 || binary.BigEndian.Uint32(b[1:]) != sum(b) {
 		return nil, 0, ErrSum
 	}
 	if b[0] > Version {
--- a/internal/proving/rules/near.go
+++ b/internal/proving/rules/near.go
@@ -98,6 +98,15 @@
 	return h
 }
 
+// drain takes the host's own word, by Drain or Welcome, on whether it drains.
+func (h *nearHost) drain(e *record.Event) {
+	if !e.On {
+		h.drains = -1
+	} else if h.drains < 0 {
+		h.drains = e.At
+	}
+}
+
 func (n *reading) take(e *record.Event) {
 	if e.At != n.at {
 		n.step++
@@ -123,11 +132,7 @@
 	case record.Welcome:
 		h := n.host(e.Host)
 		h.up, h.life = true, e.Epoch
-		if !e.On {
-			h.drains = -1
-		} else if h.drains < 0 {
-			h.drains = e.At
-		}
+		h.drain(e)
 		for _, s := range n.seats {
 			if s.ref.host == e.Host && s.hostLife < e.Epoch && s.stand != neverRan {
 				s.stand = isOver // its host's life has ended
@@ -136,12 +141,7 @@
 	case record.Gone:
 		n.gone(e)
 	case record.Drain:
-		h := n.host(e.Host)
-		if !e.On {
-			h.drains = -1
-		} else if h.drains < 0 {
-			h.drains = e.At
-		}
+		n.host(e.Host).drain(e)
 	case record.Held:
 		if e.Result == "in-line" {
 			return
--- a/internal/running/store/store.go
+++ b/internal/running/store/store.go
@@ -34,8 +34,7 @@
 type Store struct {
 	db      *bbolt.DB
 	opt     Options
-	Commits int // fsyncs for notes
-	Notes   int
+	Commits int    // fsyncs for notes
 	Aside   string // where a file that could not be read was put; "": none was
 	lazy    []state.Change
 	counts  map[string]int // keys by bucket
@@ -166,7 +165,6 @@
 		wait = wait || state.Waits(n)
 		changes = append(changes, state.Changes(n)...)
 	}
-	s.Notes += len(notes)
 	if !wait {
 		s.lazy = append(s.lazy, changes...)
 		return nil
