--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -96,7 +96,7 @@
 	root.PersistentFlags().StringVar(&a.level, "log", "warn", "least level of the log on standard error: debug, info, warn, error")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput(err) })
 	root.AddCommand(a.serveCommand(), a.hostCommand(), a.catalogueCommand(), a.tryCommand(), a.submitCommand(), a.checkCommand(), a.baddayCommand(),
-		a.exploreCommand(), a.planCommand(), a.storeCommand())
+		a.exploreCommand(), a.planCommand(), a.storeCommand(), a.nodeCommand())
 	for _, c := range root.Commands() {
 		if args := c.Args; args != nil {
 			c.Args = func(cmd *cobra.Command, given []string) error { return badInput(args(cmd, given)) }
--- /dev/null
+++ b/internal/placing/node/api.go
@@ -0,0 +1,159 @@
+// Package node is the core of a placer on the users' platform: it owns requests, attempts, standing tasks and the
+// connections that carry them, turns what crosses the sockets into the module's events and the module's actions into
+// messages. Every ruling is the module's; the core keeps the protocol and its bounds. It is pure: inputs and time in,
+// outputs out.
+package node
+
+import (
+	"time"
+
+	"forkhead"
+	"forkhead/internal/protocol/platform"
+)
+
+// Config is what a core runs with.
+type Config struct {
+	Settings forkhead.Settings
+	Names    Names
+	Idle     time.Duration // hosts close connections that are idle for so long; 0: never
+	Seed     uint64
+	Known    []platform.Change // the change log up to the start
+	Owners   int               // most connections of owners
+	Links    int               // most connections to hosts
+	// Decide stands in the module's place, for tests; nil: the module.
+	Decide func(now time.Duration, events []forkhead.Event) []forkhead.Action
+}
+
+// Names are those of the settings' lists, in their order.
+type Names struct {
+	Classes, Tenants, Zones, Kinds []string
+	Load                           []string // the fields of a load report
+}
+
+// Bounds of the core. What each does when it is met is said where it is used.
+const (
+	mostOpen      = 8192 // requests without an answer, of all owners
+	mostOpenEach  = 2048 // and of one connection
+	mostBadLines  = 64   // lines of one connection that were turned down as malformed
+	linksEach     = 8    // connections to one host
+	streamsEach   = 32   // attempts out on one connection
+	mostGivenUp   = 4096 // attempts remembered after they were given up
+	mostOwed      = 1024 // messages that wait for a connection of owners
+	mostKeys      = 8192 // tasks remembered as having come before
+	wholeLine     = 2 * time.Second
+	sayFirst      = 2 * time.Second
+	probeWithin   = 250 * time.Millisecond
+	retest        = 120 * time.Millisecond // a probe that is not answered is sent again on another connection
+	restFirst     = 100 * time.Millisecond // between connections that were refused or not made
+	restMost      = time.Second
+	quietAfter    = 2 * time.Second // a host with standing tasks that has said nothing for so long is tested
+	lostAfter     = 5 * time.Second // and is lost after this, where no connection to it could be made since
+	goneAfter     = 500 * time.Millisecond
+	hostsWord     = time.Second // a release that the host does not answer counts as heard
+	owedFor       = 8 * time.Second
+	forgetHost    = 30 * time.Second // a host that is gone and holds nothing is forgotten
+	tendEvery     = 50 * time.Millisecond
+	mostWait      = time.Hour // the longest that an owner may say it waits
+	stopListening = 800 * time.Millisecond
+	stopAtLeast   = 1200 * time.Millisecond
+)
+
+// Input is something that happened on the sockets.
+type Input interface{ input() }
+
+// The inputs.
+type (
+	// Accepted is a new connection of an owner.
+	Accepted struct{ Owner uint64 }
+	// OwnerData is bytes from an owner; the core does not keep them.
+	OwnerData struct {
+		Owner uint64
+		Data  []byte
+	}
+	// OwnerGone is the end of an owner's connection that the core has not closed.
+	OwnerGone struct{ Owner uint64 }
+	// Dialled says that a connection to a host is made.
+	Dialled struct{ Link uint64 }
+	// DialFailed says that it is not made; Refused proves that nothing listens there.
+	DialFailed struct {
+		Link    uint64
+		Refused bool
+	}
+	// HostData is bytes from a host.
+	HostData struct {
+		Link uint64
+		Data []byte
+	}
+	// LinkGone is the end of a host's connection that the core has not closed.
+	LinkGone struct{ Link uint64 }
+	// Changed is an event of the change log.
+	Changed struct{ Change platform.Change }
+	// Datagram is a message of another placer.
+	Datagram struct {
+		From int
+		Data []byte
+	}
+	// Stopping says that this placer is to end.
+	Stopping struct{}
+)
+
+func (Accepted) input()   {}
+func (OwnerData) input()  {}
+func (OwnerGone) input()  {}
+func (Dialled) input()    {}
+func (DialFailed) input() {}
+func (HostData) input()   {}
+func (LinkGone) input()   {}
+func (Changed) input()    {}
+func (Datagram) input()   {}
+func (Stopping) input()   {}
+
+// Output is something to do.
+type Output interface{ output() }
+
+// The outputs, to be carried out in their order.
+type (
+	// ToOwner writes a line to an owner.
+	ToOwner struct {
+		Owner uint64
+		Line  []byte
+	}
+	// CloseOwner closes an owner's connection after what was written to it.
+	CloseOwner struct{ Owner uint64 }
+	// Dial makes a connection to a host.
+	Dial struct {
+		Link    uint64
+		Address string
+	}
+	// ToHost writes a line to a host.
+	ToHost struct {
+		Link uint64
+		Line []byte
+	}
+	// CloseLink closes a host's connection, or stops making it.
+	CloseLink struct{ Link uint64 }
+	// ToPlacer sends a message to another placer or to forkhead.Everyone.
+	ToPlacer struct {
+		To   int
+		Data []byte
+	}
+	// Deafen closes the listener.
+	Deafen struct{}
+	// Ended says that nothing is owed any more: the process may end.
+	Ended struct{}
+	// Logged is a line for whoever is on call; a Defect is the program's.
+	Logged struct {
+		Text   string
+		Defect bool
+	}
+)
+
+func (ToOwner) output()    {}
+func (CloseOwner) output() {}
+func (Dial) output()       {}
+func (ToHost) output()     {}
+func (CloseLink) output()  {}
+func (ToPlacer) output()   {}
+func (Deafen) output()     {}
+func (Ended) output()      {}
+func (Logged) output()     {}
--- /dev/null
+++ b/internal/placing/node/core.go
@@ -0,0 +1,549 @@
+package node
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/placing/attempt"
+	"forkhead/internal/placing/guard"
+	"forkhead/internal/protocol/platform"
+)
+
+// Core is one placer's state.
+type Core struct {
+	cfg    Config
+	set    *forkhead.Settings
+	now    time.Duration
+	out    []Output
+	events []forkhead.Event // for the module, of this step
+	decide func(time.Duration, []forkhead.Event) []forkhead.Action
+
+	timers timers
+	tendAt time.Duration
+
+	owners map[uint64]*owner
+	owed   []owedLine // what no connection of owners could take yet
+
+	lastTask forkhead.TaskID
+	tasks    map[forkhead.TaskID]*request
+	refs     map[string]*request
+	open     int               // requests without an answer
+	services map[uint64][]*try // live attempts
+	over     []*request        // to be forgotten at the end of the step
+	keys     recent[uint64]    // tasks that came
+	ended    recent[givenUp]   // attempts that were given up, by host and ref
+	hosts    map[uint32]*host  // by number
+	links    map[uint64]*link  // all connections to hosts
+	lastLink uint64
+	lastTest uint64
+	seq      uint64 // of the change log
+	listed   bool   // the module has a list
+
+	stopAt time.Duration // when the stop began; 0: it has not
+	deaf   bool
+}
+
+type givenUp struct {
+	host uint32
+	ref  string
+}
+
+type owedLine struct {
+	line []byte
+	by   time.Duration
+}
+
+// New returns a core that has the list of the start, or an error that names the setting it cannot use.
+func New(cfg Config) (*Core, error) {
+	c := &Core{
+		cfg: cfg, set: &cfg.Settings, decide: cfg.Decide, owners: map[uint64]*owner{}, tasks: map[forkhead.TaskID]*request{},
+		refs: map[string]*request{}, services: map[uint64][]*try{}, keys: newRecent[uint64](mostKeys),
+		ended: newRecent[givenUp](mostGivenUp), hosts: map[uint32]*host{}, links: map[uint64]*link{},
+	}
+	if c.decide == nil {
+		p, err := forkhead.New(cfg.Settings, cfg.Seed)
+		if err != nil {
+			return nil, err
+		}
+		c.decide = p.Step
+	}
+	return c, nil
+}
+
+// Next is when the core wants to be stepped without inputs.
+func (c *Core) Next() time.Duration {
+	if len(c.timers) > 0 {
+		return min(c.timers[0].at, c.tendAt)
+	}
+	return c.tendAt
+}
+
+// Step takes the inputs of one moment, in order, and returns what to do, in order.
+func (c *Core) Step(now time.Duration, in ...Input) []Output {
+	c.now, c.out = now, nil
+	if !c.listed {
+		c.listed = true
+		c.begin()
+	}
+	for _, i := range in {
+		c.take(i)
+	}
+	for len(c.timers) > 0 && c.timers[0].at <= now {
+		t := heap.Pop(&c.timers).(timer)
+		if t.deadline {
+			c.deadline(forkhead.TaskID(t.id))
+		} else {
+			c.event(forkhead.TimerFired{Timer: t.id})
+		}
+	}
+	if now >= c.tendAt {
+		c.tendAt = now + tendEvery
+		c.tend()
+	}
+	c.rule()
+	c.sweep()
+	return c.out
+}
+
+func (c *Core) take(i Input) {
+	switch i := i.(type) {
+	case Accepted:
+		c.accepted(i.Owner)
+	case OwnerData:
+		c.ownerData(i)
+	case OwnerGone:
+		if o := c.owners[i.Owner]; o != nil {
+			c.left(o)
+		}
+	case Dialled:
+		c.dialled(i.Link)
+	case DialFailed:
+		c.dialFailed(i)
+	case HostData:
+		c.hostData(i)
+	case LinkGone:
+		if l := c.links[i.Link]; l != nil {
+			c.unlink(l)
+		}
+	case Changed:
+		c.changed(i.Change)
+	case Datagram:
+		c.event(forkhead.Told{From: i.From, Data: i.Data})
+	case Stopping:
+		if c.stopAt == 0 {
+			c.stopAt = c.now
+		}
+	}
+}
+
+func (c *Core) event(ev forkhead.Event) { c.events = append(c.events, ev) }
+func (c *Core) do(o Output)             { c.out = append(c.out, o) }
+
+func (c *Core) logf(format string, args ...any) { c.do(Logged{Text: fmt.Sprintf(format, args...)}) }
+func (c *Core) defect(format string, args ...any) {
+	c.do(Logged{Text: fmt.Sprintf(format, args...), Defect: true})
+}
+
+// rule hands the module its events until it has none left: some actions cause events at once.
+func (c *Core) rule() {
+	for len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		for _, a := range c.decide(c.now, events) {
+			c.act(a)
+		}
+	}
+}
+
+func (c *Core) act(a forkhead.Action) {
+	switch a := a.(type) {
+	case forkhead.Offer:
+		c.offer(a)
+	case forkhead.Refuse:
+		c.answer(a.Task, true, a.RetryAfter)
+	case forkhead.Fail:
+		c.answer(a.Task, false, 0)
+	case forkhead.Withdraw:
+		if r := c.tasks[a.Task]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.tries) {
+			c.giveUp(r.tries[a.Attempt], forkhead.Withdrawn, r.phase != open)
+		}
+	case forkhead.Stop:
+		c.move(a.Task)
+	case forkhead.SetTimer:
+		heap.Push(&c.timers, timer{at: max(a.At, c.now+time.Microsecond), id: a.Timer})
+	case forkhead.Probe:
+		c.probe(uint32(a.Machine))
+	case forkhead.Tell:
+		if len(a.Data) > platform.MostDatagram {
+			c.defect("a message of %d bytes for other placers is not sent", len(a.Data))
+			return
+		}
+		c.do(ToPlacer{To: a.To, Data: a.Data})
+	case forkhead.Subscribe: // the change log is always followed
+	case forkhead.Log:
+		c.logf("%s", a.Text)
+	}
+}
+
+// ---- Requests.
+
+type phase uint8
+
+const (
+	open     phase = iota // an answer is owed
+	standing              // placed
+	ending                // its owner or the module has ended it, and its host has not said so yet
+	over
+)
+
+// request is one arrival of a task.
+type request struct {
+	id      forkhead.TaskID
+	ref     string
+	owner   uint64 // the connection that it came on last
+	task    forkhead.Task
+	class   *forkhead.Class
+	fields  []platform.Field // for hosts
+	desc    []byte
+	digest  uint64
+	ask     attempt.Ask
+	tries   []*try
+	phase   phase
+	counted bool // in open
+}
+
+// try is an attempt.
+type try struct {
+	req    *request
+	number int
+	host   *host
+	link   *link // that carries it, or that it waits for
+	at     time.Duration
+	endBy  time.Duration // ending: the host's word is awaited until then
+}
+
+func (t *try) phase() attempt.Phase { return t.req.ask.Attempts[t.number].Phase }
+
+// offer starts an attempt where that is legal now; else its outcome is that it was not sent.
+func (c *Core) offer(a forkhead.Offer) {
+	r := c.tasks[a.Task]
+	if r == nil {
+		c.defect("an offer of task %d, which is not known", a.Task)
+		return
+	}
+	h := c.hosts[uint32(a.Machine)]
+	moot := func() {
+		r.ask.Skip(c.now, attempt.Host(a.Machine))
+		r.tries = append(r.tries, nil)
+		c.event(forkhead.Outcome{
+			Task: r.id, Attempt: len(r.tries) - 1, Machine: a.Machine, Result: forkhead.Moot, Final: r.phase != open,
+		})
+	}
+	if r.phase != open || h == nil || h.address == "" {
+		moot()
+		return
+	}
+	veto := guard.MayOffer(c.now, &guard.Offer{
+		Ask: &r.ask, Task: &r.task, Class: r.class, To: h.guarded(), Grace: c.set.DrainGrace,
+		Hosts: func(id attempt.Host) *guard.Host {
+			if h := c.hosts[uint32(id)]; h != nil {
+				return h.guarded()
+			}
+			return nil
+		},
+		Others: func(yield func(*guard.Host) bool) {
+			for _, t := range c.services[r.task.Service] {
+				if !yield(t.host.guarded()) {
+					return
+				}
+			}
+		},
+	})
+	if veto != nil {
+		c.defect("an offer of task %d to %s is vetoed: %v", r.id, h.name, veto)
+		moot()
+		return
+	}
+	t := &try{req: r, number: r.ask.Offer(c.now, attempt.Host(a.Machine)), host: h, at: c.now}
+	r.tries = append(r.tries, t)
+	c.services[r.task.Service] = append(c.services[r.task.Service], t)
+	if a.Timeout > 0 && c.now+a.Timeout < r.ask.Deadline {
+		heap.Push(&c.timers, timer{at: c.now + a.Timeout, id: uint64(r.id), deadline: true})
+	}
+	h.tries[r.ref] = t
+	c.carry(t)
+}
+
+// write sends an attempt on its link, which is open; one that has become wrong while it waited is not sent.
+func (c *Core) write(t *try) {
+	r := t.req
+	if r.phase != open || r.ask.MayWrite(c.now, t.number) != nil ||
+		guard.Drained(c.now, t.host.entry.State, t.host.since, c.set.DrainGrace) {
+		c.outcome(t, attempt.CalledOff, forkhead.Moot, forkhead.NoReason, r.phase != open, nil)
+		return
+	}
+	left := max((r.ask.Deadline - c.now).Milliseconds(), 1)
+	t.at = c.now
+	t.link.out++
+	t.link.usedAt = c.now
+	r.ask.On(t.number, attempt.Written)
+	c.do(ToHost{t.link.id, platform.Append(nil, platform.New, r.ref, platform.NoCause, r.desc,
+		append(r.fields[:len(r.fields):len(r.fields)], platform.Quoted("left", fmt.Sprint(left)))...)})
+}
+
+// outcome ends an attempt and tells the module.
+func (c *Core) outcome(t *try, in attempt.Input, result forkhead.Result, why forkhead.Reason, final bool, report *forkhead.Report) {
+	r := t.req
+	if p := t.phase(); !p.Live() {
+		return
+	}
+	c.offLink(t)
+	r.ask.On(t.number, in)
+	if t.host.tries[r.ref] == t {
+		delete(t.host.tries, r.ref)
+	}
+	live := c.services[r.task.Service]
+	for i, other := range live {
+		if other == t {
+			live[i] = live[len(live)-1]
+			live = live[:len(live)-1]
+			break
+		}
+	}
+	if c.services[r.task.Service] = live; len(live) == 0 {
+		delete(c.services, r.task.Service)
+	}
+	c.event(forkhead.Outcome{
+		Task: r.id, Attempt: t.number, Machine: forkhead.MachineID(t.host.number), Result: result, Reason: why,
+		Took: c.now - t.at, Final: final, Report: report,
+	})
+	if r.phase != open {
+		c.over = append(c.over, r)
+	}
+}
+
+// offLink takes an attempt that is out off the count of its link, or off the line that waits for it.
+func (c *Core) offLink(t *try) {
+	l := t.link
+	if l == nil {
+		return
+	}
+	t.link = nil
+	if t.phase() == attempt.Out {
+		l.out--
+		return
+	}
+	for i, w := range l.waiting {
+		if w == t {
+			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// giveUp stops waiting for an attempt that is out.
+func (c *Core) giveUp(t *try, result forkhead.Result, final bool) {
+	if t == nil || !t.phase().Out() {
+		return
+	}
+	if t.phase() == attempt.Out {
+		if t.link != nil {
+			c.do(ToHost{t.link.id, platform.Append(nil, platform.Release, t.req.ref, platform.CauseOK, nil)})
+		}
+		c.ended.add(givenUp{t.host.number, t.req.ref})
+	}
+	c.outcome(t, attempt.CalledOff, result, forkhead.NoReason, final, nil)
+}
+
+// answer carries out the module's refusal or failure.
+func (c *Core) answer(id forkhead.TaskID, refuse bool, wait time.Duration) {
+	r := c.tasks[id]
+	if r == nil || r.phase != open {
+		return
+	}
+	if veto := guard.MayAnswer(&r.ask, refuse); veto != nil {
+		c.defect("an answer to task %d is vetoed: %v", id, veto)
+		for _, t := range r.tries {
+			c.giveUp(t, forkhead.Withdrawn, true)
+		}
+		refuse = false
+	}
+	cause, fields := platform.CauseFailed, []platform.Field(nil)
+	if refuse {
+		cause = platform.CauseFull
+		if ms := wait.Milliseconds(); ms > 0 {
+			fields = append(fields, platform.Quoted("wait", fmt.Sprint(ms)))
+		}
+	}
+	r.ask.End(refuse)
+	c.close(r, over)
+	c.tell(r, platform.Append(nil, platform.Release, r.ref, cause, nil, fields...))
+}
+
+// close takes a request out of those that are owed an answer.
+func (c *Core) close(r *request, p phase) {
+	r.phase = p
+	if r.counted {
+		r.counted = false
+		c.open--
+		if o := c.owners[r.owner]; o != nil {
+			delete(o.open, r)
+		}
+	}
+	r.desc, r.fields = nil, nil
+	if p == over {
+		c.over = append(c.over, r)
+	}
+}
+
+// deadline ends attempts at the time that was given for them.
+func (c *Core) deadline(id forkhead.TaskID) {
+	r := c.tasks[id]
+	if r == nil || r.phase != open {
+		return
+	}
+	for _, t := range r.tries {
+		c.giveUp(t, forkhead.TimedOut, false)
+	}
+	c.rule()
+	if r.phase == open && c.now >= r.ask.Deadline {
+		c.defect("task %d has no answer at its deadline", id)
+		c.event(forkhead.OwnerLeft{Task: id})
+		c.answer(id, false, 0)
+	}
+}
+
+// leave takes back a request for its owner.
+func (c *Core) leave(r *request) {
+	c.event(forkhead.OwnerLeft{Task: r.id})
+	c.close(r, over)
+	r.ask.End(false)
+	for _, t := range r.tries {
+		c.giveUp(t, forkhead.Withdrawn, true)
+	}
+}
+
+// current is the attempt that holds a standing task.
+func (r *request) current() *try {
+	for _, t := range r.tries {
+		if t != nil && t.phase() == attempt.Placed {
+			return t
+		}
+	}
+	return nil
+}
+
+// end cuts a standing task at its host; the host's word, or its silence, makes the outcome.
+func (c *Core) end(r *request) {
+	t := r.current()
+	if t == nil || r.phase != standing {
+		return
+	}
+	r.phase = ending
+	t.endBy = c.now + hostsWord
+	if l := t.host.best(); l != nil {
+		c.do(ToHost{l.id, platform.Append(nil, platform.Release, r.ref, platform.CauseOK, nil)})
+	}
+}
+
+// move carries out the module's Stop.
+func (c *Core) move(id forkhead.TaskID) {
+	if r := c.tasks[id]; r != nil && r.phase == standing {
+		c.tell(r, platform.Append(nil, platform.Move, r.ref, platform.NoCause, nil))
+		c.end(r)
+	}
+}
+
+// finish ends a standing task by its host's word, or by what proves that it is over.
+func (c *Core) finish(t *try, cause int, why forkhead.Reason, report *forkhead.Report) {
+	r := t.req
+	result := forkhead.Reset
+	switch {
+	case r.phase == ending || cause == platform.CauseMoved:
+		result = forkhead.Withdrawn
+	case cause == platform.CauseOK:
+		result = forkhead.OK
+	default:
+		cause = platform.CauseReset
+	}
+	if r.phase == standing && cause != platform.CauseMoved {
+		c.tell(r, platform.Append(nil, platform.Release, r.ref, cause, nil))
+	}
+	r.phase = over
+	c.outcome(t, attempt.Ended, result, why, true, report)
+	c.over = append(c.over, r)
+}
+
+// sweep forgets requests that nothing more can come of.
+func (c *Core) sweep() {
+	for _, r := range c.over {
+		if r.phase != over || r.ask.IsOut() || r.current() != nil {
+			continue
+		}
+		delete(c.tasks, r.id)
+		if c.refs[r.ref] == r {
+			delete(c.refs, r.ref)
+		}
+	}
+	c.over = c.over[:0]
+}
+
+// ---- Timers.
+
+// timer is the module's, or the deadline of a task.
+type timer struct {
+	at       time.Duration
+	id       uint64
+	deadline bool
+}
+
+type timers []timer
+
+// Len is how many are set.
+func (t timers) Len() int { return len(t) }
+
+// Less orders by time.
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+
+// Swap exchanges two.
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+// Push is for container/heap.
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
+
+// Pop is for container/heap.
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+// recent remembers the last so many values.
+type recent[K comparable] struct {
+	ring []K
+	next int
+	has  map[K]int // how often it is in the ring
+}
+
+func newRecent[K comparable](most int) recent[K] {
+	return recent[K]{ring: make([]K, 0, most), has: map[K]int{}}
+}
+
+func (r *recent[K]) add(k K) {
+	if len(r.ring) < cap(r.ring) {
+		r.ring = append(r.ring, k)
+	} else {
+		if old := r.ring[r.next]; r.has[old] == 1 {
+			delete(r.has, old)
+		} else {
+			r.has[old]--
+		}
+		r.ring[r.next] = k
+		r.next = (r.next + 1) % len(r.ring)
+	}
+	r.has[k]++
+}
+
+func (r *recent[K]) holds(k K) bool { return r.has[k] > 0 }
--- /dev/null
+++ b/internal/placing/node/hosts.go
@@ -0,0 +1,649 @@
+package node
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/placing/attempt"
+	"forkhead/internal/placing/guard"
+	"forkhead/internal/protocol/platform"
+)
+
+// host is one host of the list, by its number.
+type host struct {
+	number  uint32
+	name    string
+	address string
+	entry   forkhead.Machine
+	since   time.Duration // told that it is not in service
+	seenAs  guard.Host
+	tries   map[string]*try // live attempts, by ref
+	links   []*link
+
+	heardAt  time.Duration // the last byte of it, or a connection was made
+	testedAt time.Duration // of a test of its silence
+	redialAt time.Duration
+	rest     time.Duration
+	refusals int // in a row, with no connection open
+
+	probe *probe
+}
+
+// link is one connection to a host.
+type link struct {
+	id      uint64
+	host    *host
+	open    bool // else it is being made
+	split   platform.Splitter
+	lineAt  time.Duration
+	heardAt time.Duration
+	usedAt  time.Duration
+	out     int    // attempts
+	waiting []*try // for it to open
+	hello   bool   // a probe waits for it to open
+}
+
+// probe is a test that the module asked for.
+type probe struct {
+	refs  []string // of its tests
+	links []*link  // that carry them
+	at    time.Duration
+	again time.Duration // when to test on another connection; 0: not
+}
+
+func (h *host) guarded() *guard.Host { return &h.seenAs }
+
+func (h *host) standing() bool {
+	for _, t := range h.tries {
+		if t.phase() == attempt.Placed {
+			return true
+		}
+	}
+	return false
+}
+
+// best is the open link with the fewest attempts out, the latest used of them; nil: none is open.
+func (h *host) best() *link {
+	var best *link
+	for _, l := range h.links {
+		if l.open && (best == nil || l.out < best.out || l.out == best.out && l.heardAt > best.heardAt) {
+			best = l
+		}
+	}
+	return best
+}
+
+// ---- Connections.
+
+// carry puts an attempt on a link of its host: an idle one, else a new one, else the least busy.
+func (c *Core) carry(t *try) {
+	l := t.host.best()
+	if l == nil || l.out > 0 && len(t.host.links) < linksEach {
+		if made := c.dial(t.host, false); made != nil {
+			l = made
+		}
+	}
+	if l == nil {
+		for _, other := range t.host.links {
+			if l == nil || len(other.waiting) < len(l.waiting) {
+				l = other
+			}
+		}
+	}
+	if l == nil || l.out+len(l.waiting) >= streamsEach {
+		c.outcome(t, attempt.Broke, forkhead.ConnectFailed, forkhead.NoReason, false, nil)
+		return
+	}
+	t.link = l
+	if l.open {
+		c.write(t)
+	} else {
+		l.waiting = append(l.waiting, t)
+	}
+}
+
+// dial makes a connection. Where the bound is met it returns nil, after an idle one of another host was closed for the
+// next to come.
+func (c *Core) dial(h *host, always bool) *link {
+	if len(c.links) >= c.cfg.Links && !always {
+		var idle *link
+		for _, l := range c.links {
+			if l.open && l.out == 0 && len(l.host.links) > 1 && (idle == nil || l.usedAt < idle.usedAt) {
+				idle = l
+			}
+		}
+		if idle == nil {
+			return nil
+		}
+		c.cut(idle)
+	}
+	c.lastLink++
+	l := &link{id: c.lastLink, host: h, usedAt: c.now}
+	c.links[l.id] = l
+	h.links = append(h.links, l)
+	c.do(Dial{l.id, h.address})
+	return l
+}
+
+func (c *Core) dialled(id uint64) {
+	l := c.links[id]
+	if l == nil {
+		return
+	}
+	h := l.host
+	l.open, l.usedAt, l.heardAt = true, c.now, c.now
+	h.heardAt, h.rest, h.refusals = c.now, 0, 0
+	if l.hello {
+		l.hello = false
+		c.test(l)
+	}
+	waiting := l.waiting
+	l.waiting = nil
+	for _, t := range waiting {
+		c.write(t)
+	}
+}
+
+func (c *Core) dialFailed(in DialFailed) {
+	l := c.links[in.Link]
+	if l == nil {
+		return
+	}
+	h := l.host
+	if in.Refused {
+		h.refusals++
+	}
+	h.rest = min(max(2*h.rest, restFirst), restMost)
+	h.redialAt = c.now + h.rest
+	c.drop(l)
+	for _, t := range l.waiting {
+		t.link = nil
+		c.outcome(t, attempt.Broke, forkhead.ConnectFailed, forkhead.NoReason, false, nil)
+	}
+	l.waiting = nil
+	if l.hello && h.probe != nil && h.best() == nil {
+		c.probed(h, forkhead.ConnectFailed, nil)
+	}
+	if h.best() == nil && h.refusals >= 2 {
+		c.lose(h, "it refuses connections")
+	}
+}
+
+// drop takes a link off the books.
+func (c *Core) drop(l *link) {
+	delete(c.links, l.id)
+	l.host.links = slices.DeleteFunc(l.host.links, func(o *link) bool { return o == l })
+}
+
+// unlink is the end of a connection: what was out on it may have run.
+func (c *Core) unlink(l *link) {
+	c.drop(l)
+	for _, t := range c.triesOf(l.host) {
+		if t.link != l {
+			continue
+		}
+		if t.phase() == attempt.Out {
+			c.ended.add(givenUp{l.host.number, t.req.ref})
+			c.outcome(t, attempt.Broke, forkhead.Reset, forkhead.NoReason, false, nil)
+		} else {
+			c.outcome(t, attempt.Broke, forkhead.ConnectFailed, forkhead.NoReason, false, nil)
+		}
+	}
+	if p := l.host.probe; p != nil && slices.Contains(p.links, l) {
+		p.again = c.now // on another one
+	}
+}
+
+// cut closes a connection.
+func (c *Core) cut(l *link) {
+	c.do(CloseLink{l.id})
+	c.unlink(l)
+}
+
+// triesOf lists the live attempts of a host in a fixed order.
+func (c *Core) triesOf(h *host) []*try {
+	all := make([]*try, 0, len(h.tries))
+	for _, t := range h.tries {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *try) int { return int(a.req.id) - int(b.req.id) })
+	return all
+}
+
+// lose ends the standing tasks of a host that cannot hold them any more.
+func (c *Core) lose(h *host, why string) {
+	n := 0
+	for _, t := range c.triesOf(h) {
+		if t.phase() == attempt.Placed {
+			n++
+			c.finish(t, platform.CauseReset, forkhead.NoReason, nil)
+		}
+	}
+	if n > 0 {
+		c.logf("%s: %s; its %d tasks are lost", h.name, why, n)
+	}
+}
+
+// ---- What hosts say.
+
+func (c *Core) hostData(in HostData) {
+	l := c.links[in.Link]
+	if l == nil {
+		return
+	}
+	l.heardAt, l.host.heardAt = c.now, c.now
+	err := l.split.Feed(in.Data, func(line []byte) error {
+		l.lineAt = 0
+		m, err := platform.Decode(line)
+		if err != nil {
+			return err
+		}
+		if m.Type == platform.Answer && m.Desc == nil {
+			return fmt.Errorf("an answer without a description")
+		}
+		c.hostLine(l, &m)
+		return nil
+	})
+	switch {
+	case c.links[in.Link] != l:
+	case err != nil:
+		c.logf("%s: a connection is closed: %v", l.host.name, err)
+		c.cut(l)
+	case !l.split.Begun():
+		l.lineAt = 0
+	case l.lineAt == 0:
+		l.lineAt = c.now
+	}
+}
+
+func (c *Core) hostLine(l *link, m *platform.Message) {
+	h := l.host
+	t := h.tries[m.Ref]
+	switch m.Type {
+	case platform.Answer:
+		switch {
+		case t == nil:
+			if c.ended.holds(givenUp{h.number, m.Ref}) {
+				// It was given up and stands all the same: nobody would ever end it.
+				c.do(ToHost{l.id, platform.Append(nil, platform.Release, m.Ref, platform.CauseOK, nil)})
+			}
+		case t.phase() == attempt.Out:
+			c.bound(t, m)
+		}
+	case platform.Release:
+		c.do(ToHost{l.id, platform.Append(nil, platform.Heard, m.Ref, platform.NoCause, nil)})
+		if t != nil {
+			c.hostRelease(t, m)
+		}
+	case platform.Heard:
+		if t != nil && t.req.phase == ending {
+			c.finish(t, platform.CauseMoved, forkhead.NoReason, nil)
+		}
+	case platform.Note:
+		if t != nil && t.phase().Live() {
+			c.note(t, m)
+		}
+	case platform.TestResult:
+		if p := h.probe; p != nil && slices.Contains(p.refs, m.Ref) {
+			result := forkhead.OK
+			if m.Cause != 1 {
+				result = forkhead.Errored
+			}
+			c.probed(h, result, c.report(m))
+		}
+	}
+}
+
+// bound is a host's answer: the task stands.
+func (c *Core) bound(t *try, m *platform.Message) {
+	r := t.req
+	c.offLink(t)
+	if r.phase != open {
+		return
+	}
+	r.ask.On(t.number, attempt.Accepted)
+	c.close(r, standing)
+	c.tell(r, platform.Append(nil, platform.Answer, r.ref, platform.NoCause, m.Desc))
+	c.event(forkhead.Bound{Task: r.id, Attempt: t.number, Machine: forkhead.MachineID(t.host.number), Took: c.now - t.at})
+	if rep := c.report(m); rep != nil {
+		_ = rep // the module takes reports with outcomes and probes only
+	}
+}
+
+func (c *Core) hostRelease(t *try, m *platform.Message) {
+	why := reason(m)
+	report := c.report(m)
+	if t.phase() == attempt.Placed {
+		c.finish(t, m.Cause, why, report)
+		return
+	}
+	if t.phase() != attempt.Out {
+		return
+	}
+	switch m.Cause {
+	case platform.CauseFull:
+		c.outcome(t, attempt.Declined, forkhead.Full, why, false, report)
+	case platform.CauseMoot:
+		c.outcome(t, attempt.Declined, forkhead.Moot, why, false, report)
+	case platform.CauseFailed:
+		c.outcome(t, attempt.Ended, forkhead.Errored, why, false, report)
+	default:
+		c.outcome(t, attempt.Ended, forkhead.Reset, why, false, report)
+	}
+}
+
+var notes = map[string]forkhead.NoteKind{
+	"running": forkhead.NoteRuns, "use_cpu": forkhead.NoteCores, "use_ram": forkhead.NoteMemory, "health": forkhead.NoteServed,
+	"ram_high": forkhead.NotePressure,
+}
+
+var reasons = map[string]forkhead.Reason{
+	"lack_cpu": forkhead.NoCores, "lack_ram": forkhead.NoMemory, "backlog": forkhead.LineFull, "unfit": forkhead.NotHere,
+	"killed": forkhead.Evicted, "displaced": forkhead.PushedOut, "dismissed": forkhead.SentAway,
+}
+
+func reason(m *platform.Message) forkhead.Reason {
+	word, _ := m.Text("note")
+	return reasons[word]
+}
+
+func (c *Core) note(t *try, m *platform.Message) {
+	word, _ := m.Text("note")
+	kind, ok := notes[word]
+	value, _ := m.Text("value")
+	amount, err := strconv.ParseFloat(value, 64)
+	if !ok || err != nil && kind != forkhead.NoteRuns {
+		return
+	}
+	c.event(forkhead.Note{
+		Task: t.req.id, Attempt: t.number, Machine: forkhead.MachineID(t.host.number), Kind: kind, Amount: amount,
+	})
+}
+
+// report reads a load report; nil: there is none.
+func (c *Core) report(m *platform.Message) *forkhead.Report {
+	text, _ := m.Text("load")
+	if text == "" {
+		return nil
+	}
+	nan := math.NaN()
+	r := &forkhead.Report{Cores: nan, Memory: nan, Queue: nan, Util: nan}
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(part, ":")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "x0":
+			r.Cores = v
+		case "x1":
+			r.Memory = v
+		case "queue", "backlog":
+			r.Queue = v
+		case "util", "utilization":
+			r.Util = v
+		}
+	}
+	return r
+}
+
+// ---- Probes.
+
+// probe carries out the module's Probe.
+func (c *Core) probe(number uint32) {
+	h := c.hosts[number]
+	if h == nil || h.probe != nil {
+		return
+	}
+	h.probe = &probe{at: c.now, again: c.now + retest}
+	c.testOn(h)
+}
+
+// testOn sends a test of the probe on a link that has not carried one.
+func (c *Core) testOn(h *host) {
+	var best *link
+	for _, l := range h.links {
+		if l.open && !slices.Contains(h.probe.links, l) && (best == nil || l.out < best.out) {
+			best = l
+		}
+	}
+	if best != nil {
+		c.test(best)
+		return
+	}
+	for _, l := range h.links {
+		if !l.open {
+			l.hello = true
+			return
+		}
+	}
+	if h.address != "" {
+		c.dial(h, true).hello = true
+	}
+}
+
+// test sends a test of the host's probe.
+func (c *Core) test(l *link) {
+	p := l.host.probe
+	if p == nil {
+		return
+	}
+	c.lastTest++
+	ref := fmt.Sprintf("%016x", 0x7e57<<48|c.lastTest)
+	p.refs, p.links = append(p.refs, ref), append(p.links, l)
+	l.usedAt = c.now
+	c.do(ToHost{l.id, platform.Append(nil, platform.Test, ref, 0, nil)})
+}
+
+func (c *Core) probed(h *host, result forkhead.Result, report *forkhead.Report) {
+	took := c.now - h.probe.at
+	h.probe = nil
+	for _, l := range h.links {
+		l.hello = false
+	}
+	c.event(forkhead.Probed{Machine: forkhead.MachineID(h.number), Result: result, Took: took, Report: report})
+}
+
+// ---- The list.
+
+// begin gives the module the list of the start.
+func (c *Core) begin() {
+	var all []forkhead.Machine
+	for _, ch := range c.cfg.Known {
+		c.seq = max(c.seq, ch.Seq)
+		if ch.Fleet != nil {
+			c.fold(ch.Fleet)
+		}
+	}
+	c.cfg.Known = nil
+	for _, h := range c.sorted() {
+		all = append(all, h.entry)
+	}
+	c.event(forkhead.Update{Mode: forkhead.ListSaved, Machines: all})
+}
+
+// Seq is the number of the last event of the change log that was taken in.
+func (c *Core) Seq() uint64 { return c.seq }
+
+func (c *Core) sorted() []*host {
+	var all []*host
+	for _, h := range c.hosts {
+		all = append(all, h)
+	}
+	slices.SortFunc(all, func(a, b *host) int { return int(a.number) - int(b.number) })
+	return all
+}
+
+// changed takes an event of the change log, once.
+func (c *Core) changed(ch platform.Change) {
+	if ch.Seq <= c.seq {
+		return
+	}
+	c.seq = ch.Seq
+	if ch.Fleet == nil {
+		return
+	}
+	mode := forkhead.ListDelta
+	if ch.Fleet.Whole {
+		mode = forkhead.ListFull
+	}
+	c.event(forkhead.Update{Mode: mode, Machines: c.fold(ch.Fleet)})
+}
+
+var states = map[string]forkhead.State{
+	platform.InService: forkhead.Ready, platform.Terminating: forkhead.Draining, platform.Terminated: forkhead.Gone,
+}
+
+// fold takes a list, or what has changed of it, and returns the entries for the module.
+func (c *Core) fold(f *platform.Fleet) []forkhead.Machine {
+	var entries []forkhead.Machine
+	listed := map[uint32]bool{}
+	for i := range f.Hosts {
+		info := &f.Hosts[i]
+		number, ok := platform.HostNumber(info.Name)
+		state, known := states[info.State]
+		kind := slices.Index(c.cfg.Names.Kinds, info.Class)
+		if !ok || !known || kind < 0 && state != forkhead.Gone {
+			c.logf("the change log lists %q, which cannot be used", info.Name)
+			continue
+		}
+		listed[number] = true
+		h := c.hosts[number]
+		if h == nil {
+			h = &host{number: number, name: info.Name, tries: map[string]*try{}}
+			c.hosts[number] = h
+		}
+		e := forkhead.Machine{
+			ID: forkhead.MachineID(number), State: state, Kind: max(kind, 0), Zone: max(slices.Index(c.cfg.Names.Zones, info.Site), 0),
+			Cell: info.Block, Started: time.Duration(info.Born * float64(time.Millisecond)),
+		}
+		if len(info.Free) >= 2 {
+			e.FreeCores, e.FreeMemory = info.Free[0], info.Free[1]
+		}
+		c.entry(h, e, info.Dial)
+		entries = append(entries, h.entry)
+	}
+	if f.Whole {
+		for _, h := range c.sorted() {
+			if !listed[h.number] && h.entry.State != forkhead.Gone {
+				e := h.entry
+				e.State = forkhead.Gone
+				c.entry(h, e, h.address)
+			}
+		}
+	}
+	return entries
+}
+
+// entry takes what the list says of a host now.
+func (c *Core) entry(h *host, e forkhead.Machine, address string) {
+	if e.State != forkhead.Ready && (h.entry.State == forkhead.Ready || h.since == 0) {
+		h.since = c.now
+	}
+	if e.State == forkhead.Gone && h.entry.State != forkhead.Gone {
+		h.since = c.now
+	}
+	if e.Started > h.entry.Started && h.address != "" {
+		// It is up anew: what stood there before is over.
+		for _, t := range c.triesOf(h) {
+			if t.phase() == attempt.Placed && t.at < e.Started {
+				c.finish(t, platform.CauseReset, forkhead.NoReason, nil)
+			}
+		}
+		h.rest, h.redialAt, h.refusals = 0, 0, 0
+	}
+	if address != "" && address != h.address || e.State == forkhead.Gone {
+		for _, l := range slices.Clone(h.links) {
+			if e.State != forkhead.Gone || l.out == 0 {
+				c.cut(l)
+			}
+		}
+	}
+	if address != "" {
+		h.address = address
+	}
+	h.entry = e
+	h.seenAs = guard.Host{
+		ID: attempt.Host(h.number), State: e.State, Since: h.since, Kind: e.Kind, Zone: e.Zone, Cell: e.Cell, Started: e.Started,
+	}
+}
+
+// ---- What time brings.
+
+func (c *Core) tend() {
+	c.tendOwners()
+	for _, h := range c.sorted() {
+		c.tendHost(h)
+	}
+	if c.stopAt > 0 {
+		if !c.deaf && c.now >= c.stopAt+stopListening {
+			c.deaf = true
+			c.do(Deafen{})
+		}
+		if c.deaf && c.open == 0 && c.now >= c.stopAt+stopAtLeast {
+			c.do(Ended{})
+		}
+	}
+}
+
+func (c *Core) tendHost(h *host) {
+	for _, l := range slices.Clone(h.links) {
+		switch {
+		case l.lineAt > 0 && c.now > l.lineAt+probeWithin:
+			c.logf("%s: a connection is closed: a message did not end", h.name)
+			c.cut(l)
+		case l.open && l.out == 0 && c.cfg.Idle > 0 && c.now > max(l.usedAt, l.heardAt)+c.cfg.Idle*3/5:
+			c.cut(l)
+		}
+	}
+	if p := h.probe; p != nil {
+		switch {
+		case c.now >= p.at+probeWithin:
+			c.probed(h, forkhead.TimedOut, nil)
+		case p.again > 0 && c.now >= p.again:
+			p.again = 0
+			c.testOn(h)
+		}
+	}
+	for _, t := range c.triesOf(h) {
+		if t.req.phase == ending && c.now > t.endBy {
+			c.finish(t, platform.CauseMoved, forkhead.NoReason, nil)
+		}
+	}
+	if h.entry.State == forkhead.Gone {
+		if c.now > h.since+goneAfter {
+			c.lose(h, "the change log says that it is gone")
+			if c.now > h.since+forgetHost && len(h.tries) == 0 && len(h.links) == 0 {
+				delete(c.hosts, h.number)
+			}
+		}
+		return
+	}
+	if !h.standing() || h.address == "" {
+		return
+	}
+	if h.heardAt == 0 {
+		h.heardAt = c.now
+	}
+	making := slices.ContainsFunc(h.links, func(l *link) bool { return !l.open })
+	quiet := c.now - h.heardAt
+	switch {
+	case making:
+	case h.best() == nil && c.now >= h.redialAt:
+		c.dial(h, true)
+	case quiet > lostAfter && h.testedAt > h.heardAt:
+		c.lose(h, "it says nothing and takes no connection")
+		for _, l := range slices.Clone(h.links) {
+			c.cut(l)
+		}
+	case quiet > quietAfter && c.now >= h.redialAt:
+		h.testedAt = c.now
+		c.dial(h, true)
+	}
+}
--- /dev/null
+++ b/internal/placing/node/owners.go
@@ -0,0 +1,376 @@
+package node
+
+import (
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"container/heap"
+
+	"forkhead"
+	"forkhead/internal/placing/attempt"
+	"forkhead/internal/protocol/platform"
+)
+
+// owner is one connection of an owner.
+type owner struct {
+	id     uint64
+	split  platform.Splitter
+	at     time.Duration // accepted
+	usedAt time.Duration
+	lineAt time.Duration // the line in hand began; 0: none has
+	spoke  bool          // it has sent a message that can be read
+	bad    int           // malformed ones
+	open   map[*request]struct{}
+}
+
+// accepted takes in a connection. Where there are too many, one that has said nothing goes, the oldest first, then one
+// that has no open request; where all have, the new one goes.
+func (c *Core) accepted(id uint64) {
+	if len(c.owners) >= c.cfg.Owners {
+		var victim *owner
+		for _, o := range c.owners {
+			if len(o.open) > 0 {
+				continue
+			}
+			if victim == nil || victim.spoke && !o.spoke || victim.spoke == o.spoke && o.usedAt < victim.usedAt {
+				victim = o
+			}
+		}
+		if victim == nil {
+			c.do(CloseOwner{id})
+			return
+		}
+		c.hangUp(victim)
+	}
+	c.owners[id] = &owner{id: id, at: c.now, usedAt: c.now, open: map[*request]struct{}{}}
+}
+
+// hangUp closes a connection. Its open requests, of which there should be none, are failed first.
+func (c *Core) hangUp(o *owner) {
+	for _, r := range c.openOf(o) {
+		c.event(forkhead.OwnerLeft{Task: r.id})
+		for _, t := range r.tries {
+			c.giveUp(t, forkhead.Withdrawn, true)
+		}
+		c.answer(r.id, false, 0)
+	}
+	delete(c.owners, o.id)
+	c.do(CloseOwner{o.id})
+}
+
+// openOf lists the open requests of a connection in the order in which they came.
+func (c *Core) openOf(o *owner) []*request {
+	var all []*request
+	for r := range o.open {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *request) int { return int(a.id) - int(b.id) })
+	return all
+}
+
+// left is the end of a connection that its owner closed: nobody waits for what is open on it.
+func (c *Core) left(o *owner) {
+	delete(c.owners, o.id)
+	for _, r := range c.openOf(o) {
+		c.leave(r)
+	}
+}
+
+// tell writes a line about a request to its owner: on the connection that it came on, else on another one that has
+// been used, else on the next that is.
+func (c *Core) tell(r *request, line []byte) {
+	if c.owners[r.owner] != nil {
+		c.do(ToOwner{r.owner, line})
+		return
+	}
+	var best *owner
+	for _, o := range c.owners {
+		if o.spoke && o.bad == 0 && (best == nil || o.usedAt > best.usedAt || o.usedAt == best.usedAt && o.id > best.id) {
+			best = o
+		}
+	}
+	switch {
+	case best != nil:
+		c.do(ToOwner{best.id, line})
+	case len(c.owed) < mostOwed:
+		c.owed = append(c.owed, owedLine{line, c.now + owedFor})
+	}
+}
+
+func (c *Core) ownerData(in OwnerData) {
+	o := c.owners[in.Owner]
+	if o == nil {
+		return
+	}
+	err := o.split.Feed(in.Data, func(line []byte) error {
+		o.lineAt = 0
+		if c.owners[o.id] == o && len(line) > 0 {
+			c.ownerLine(o, line)
+		}
+		return nil
+	})
+	if c.owners[o.id] != o {
+		return
+	}
+	if err != nil {
+		c.hangUp(o)
+		return
+	}
+	if !o.split.Begun() {
+		o.lineAt = 0
+	} else if o.lineAt == 0 {
+		o.lineAt = c.now
+	}
+}
+
+func (c *Core) ownerLine(o *owner, line []byte) {
+	m, err := platform.Decode(line)
+	if err != nil {
+		if m.Ref != "" && m.Type == platform.New && c.refs[m.Ref] == nil {
+			c.turnDown(o, m.Ref)
+			return
+		}
+		c.hangUp(o)
+		return
+	}
+	o.usedAt = c.now
+	switch m.Type {
+	case platform.Test:
+		o.spoke = true
+		well := 0
+		if len(c.hosts) > 0 {
+			well = 1
+		}
+		c.do(ToOwner{o.id, platform.Append(nil, platform.TestResult, m.Ref, well, nil)})
+	case platform.New:
+		c.setUp(o, &m)
+	case platform.Release:
+		c.release(o, &m)
+	case platform.Heard, platform.Progress:
+	default:
+		c.hangUp(o)
+	}
+	if o.spoke && len(c.owed) > 0 && c.owners[o.id] == o {
+		for _, w := range c.owed {
+			c.do(ToOwner{o.id, w.line})
+		}
+		c.owed = nil
+	}
+}
+
+// turnDown answers a set-up that cannot be taken. A connection that brings too many of them is closed.
+func (c *Core) turnDown(o *owner, ref string) {
+	c.do(ToOwner{o.id, platform.Append(nil, platform.Release, ref, platform.CauseFailed, nil)})
+	if o.bad++; o.bad > mostBadLines {
+		c.hangUp(o)
+	}
+}
+
+// release takes a give-up of an open request, or the end of a standing task.
+func (c *Core) release(o *owner, m *platform.Message) {
+	r := c.refs[m.Ref]
+	c.do(ToOwner{o.id, platform.Append(nil, platform.Heard, m.Ref, platform.NoCause, nil)})
+	switch {
+	case r == nil:
+		if !o.spoke { // nothing that it could mean
+			c.hangUp(o)
+		}
+	case r.phase == open:
+		if r.owner == o.id {
+			c.leave(r)
+		}
+	default:
+		c.end(r)
+	}
+}
+
+// setUp takes a set-up.
+func (c *Core) setUp(o *owner, m *platform.Message) {
+	task, at, ok := c.parse(m)
+	if !ok {
+		if r := c.refs[m.Ref]; r != nil && r.owner == o.id {
+			c.hangUp(o) // an answer under this number would be one to the open request
+			return
+		}
+		c.turnDown(o, m.Ref)
+		return
+	}
+	digest := digestOf(m)
+	if r := c.refs[m.Ref]; r != nil {
+		switch {
+		case r.digest == digest && (r.phase == open || r.phase == standing):
+			// The same again: its connection was closed, or it is being closed.
+			if old := c.owners[r.owner]; old != nil && r.counted {
+				delete(old.open, r)
+				o.open[r] = struct{}{}
+			}
+			r.owner, o.spoke = o.id, true
+		case r.owner == o.id:
+			c.hangUp(o)
+		default:
+			c.turnDown(o, m.Ref)
+		}
+		return
+	}
+	if at != "" {
+		c.handedOver(o, m, task, at, digest)
+		return
+	}
+	o.spoke = true
+	if c.open >= mostOpen || len(o.open) >= mostOpenEach || c.stopAt > 0 && c.now > c.stopAt+stopListening {
+		c.do(ToOwner{o.id, platform.Append(nil, platform.Release, m.Ref, platform.CauseBusy, nil)})
+		return
+	}
+	r := c.request(o, m, task, digest)
+	r.desc = m.Desc
+	r.fields = []platform.Field{{Name: "class", Raw: m.Fields["class"]}, {Name: "key", Raw: m.Fields["key"]}}
+	if r.class.Effect == forkhead.Keyed {
+		r.fields = append(r.fields, platform.Field{Name: "idem", Raw: m.Fields["idem"]})
+	}
+	r.counted = true
+	c.open++
+	o.open[r] = struct{}{}
+	heap.Push(&c.timers, timer{at: r.ask.Deadline, id: uint64(r.id), deadline: true})
+	c.keys.add(task.Key)
+	c.event(forkhead.Arrival{Task: r.task})
+}
+
+func (c *Core) request(o *owner, m *platform.Message, task forkhead.Task, digest uint64) *request {
+	c.lastTask++
+	task.ID = c.lastTask
+	class := &c.set.Classes[task.Class]
+	r := &request{id: task.ID, ref: m.Ref, owner: o.id, task: task, class: class, digest: digest}
+	r.ask = attempt.Ask{
+		Rules: attempt.Rules{
+			Effect: class.Effect, Group: class.Group, Window: class.Window, Most: c.set.MaxAttempts, Parallel: c.set.ParallelAttempts,
+		},
+		Deadline: c.now + task.Wait,
+	}
+	c.tasks[r.id], c.refs[r.ref] = r, r
+	return r
+}
+
+// handedOver takes a task that a host holds already.
+func (c *Core) handedOver(o *owner, m *platform.Message, task forkhead.Task, at string, digest uint64) {
+	number, ok := platform.HostNumber(at)
+	h := c.hosts[number]
+	if !ok || h == nil || h.name != at || h.entry.State == forkhead.Gone {
+		c.turnDown(o, m.Ref) // no such host can hold it
+		return
+	}
+	o.spoke = true
+	for _, t := range h.tries {
+		if t.req.task.Key == task.Key && t.phase() == attempt.Placed {
+			c.logf("task %016x at %s is handed over as %s and stands as %s", task.Key, at, m.Ref, t.req.ref)
+		}
+	}
+	r := c.request(o, m, task, digest)
+	r.phase = standing
+	r.ask.Answer = attempt.Bound
+	r.ask.Attempts = []attempt.Attempt{{Host: attempt.Host(number), Phase: attempt.Placed, At: c.now}}
+	t := &try{req: r, host: h, at: c.now}
+	r.tries = []*try{t}
+	h.tries[r.ref] = t
+	c.services[task.Service] = append(c.services[task.Service], t)
+	c.event(forkhead.HandedOver{Task: r.task, Machine: forkhead.MachineID(number)})
+}
+
+// parse reads what a set-up says of its task; at names the host that holds it already.
+func (c *Core) parse(m *platform.Message) (t forkhead.Task, at string, ok bool) {
+	if m.Desc == nil {
+		return t, "", false
+	}
+	class, _ := m.Text("class")
+	if t.Class = slices.Index(c.cfg.Names.Classes, class); t.Class < 0 {
+		return t, "", false
+	}
+	if len(c.cfg.Names.Tenants) > 0 {
+		tenant, _ := m.Text("tenant")
+		if t.Tenant = slices.Index(c.cfg.Names.Tenants, tenant); t.Tenant < 0 {
+			return t, "", false
+		}
+	}
+	key, _ := m.Text("key")
+	if t.Key, ok = hex(key); !ok {
+		return t, "", false
+	}
+	if idem, _ := m.Text("idem"); c.set.Classes[t.Class].Effect == forkhead.Keyed && idem == "" {
+		return t, "", false
+	}
+	extras, _ := m.Text("extras")
+	seen := map[string]bool{}
+	for part := range strings.SplitSeq(extras, ";") {
+		name, value, _ := strings.Cut(part, ":")
+		good := true
+		switch name {
+		case "cores":
+			t.Cores, good = figure(value)
+		case "memory":
+			t.Memory, good = figure(value)
+		case "service":
+			t.Service, good = hex(value)
+		case "at":
+			at, good = value, value != ""
+		}
+		if !good || seen[name] {
+			return t, "", false
+		}
+		seen[name] = true
+	}
+	if !seen["cores"] || !seen["memory"] || !seen["service"] {
+		return t, "", false
+	}
+	left, told := m.Text("left")
+	ms, good := figure(left)
+	switch {
+	case at != "" && !told:
+	case !good || ms < 1 || ms > float64(mostWait/time.Millisecond):
+		return t, "", false
+	}
+	t.Wait = time.Duration(ms * float64(time.Millisecond))
+	if hint, told := m.Text("hint"); told {
+		if ms, good := figure(hint); good && ms <= 1e12 {
+			t.Life = time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	t.Again = c.keys.holds(t.Key)
+	return t, at, true
+}
+
+// hex reads a name of 16 hex digits.
+func hex(s string) (uint64, bool) {
+	n, err := strconv.ParseUint(s, 16, 64)
+	return n, err == nil && len(s) <= 16
+}
+
+// figure reads a finite number from 0.
+func figure(s string) (float64, bool) {
+	v, err := strconv.ParseFloat(s, 64)
+	return v, err == nil && v >= 0 && v <= math.MaxFloat32
+}
+
+func digestOf(m *platform.Message) uint64 {
+	h := fnv.New64a()
+	h.Write(m.Desc)
+	for _, name := range []string{"class", "tenant", "key", "idem", "extras"} {
+		h.Write([]byte{0})
+		h.Write(m.Fields[name])
+	}
+	return h.Sum64()
+}
+
+// tendOwners closes connections that have said nothing, or not ended a line, for too long.
+func (c *Core) tendOwners() {
+	for _, o := range c.owners {
+		if o.lineAt > 0 && c.now > o.lineAt+wholeLine || !o.spoke && len(o.open) == 0 && c.now > o.at+sayFirst {
+			c.hangUp(o)
+		}
+	}
+	for len(c.owed) > 0 && c.owed[0].by < c.now {
+		c.owed = c.owed[1:]
+	}
+}
--- a/internal/wire/info.go
+++ b/internal/reading/bootinfo/info.go
@@ -1,4 +1,6 @@
-package wire
+// Package bootinfo reads the settings object that a placer of the platform is started with, in the simulator's first
+// message as in the configuration of a real placer, and translates it for the module. Times are in milliseconds there.
+package bootinfo
 
 import (
 	"encoding/json"
@@ -7,11 +9,13 @@
 
 // Info is the settings text of a Boot. Times are in milliseconds.
 type Info struct {
-	Zone      int `json:"az"`
-	Balancers int `json:"balancers"`
-	Me        int `json:"me"`
+	Zone      int      `json:"az"`
+	Zones     []string `json:"dcs"`
+	Balancers int      `json:"balancers"`
+	Me        int      `json:"me"`
 	Caps      struct {
 		Cancel         bool    `json:"cancel"`
+		ConnIdle       float64 `json:"connIdle"`
 		ConnectTimeout float64 `json:"connectTimeout"`
 		MaxAttempts    int     `json:"maxAttempts"`
 		MaxRetryAfter  float64 `json:"maxRetryAfter"`
@@ -25,6 +29,7 @@
 		Group      string  `json:"group"`
 		LateWorth  float64 `json:"lateWorth"`
 		MemorySpan float64 `json:"memorySpan"`
+		Name       string  `json:"name"`
 		Points     float64 `json:"points"`
 	} `json:"classes"`
 	Deductions struct {
@@ -80,12 +85,13 @@
 		StopSendingWithin float64 `json:"stopSendingWithin"`
 	} `json:"rules"`
 	Tenants []struct {
+		Name  string  `json:"name"`
 		Share float64 `json:"share"`
 	} `json:"tenants"`
 }
 
-// ParseInfo reads a settings text; keys that it does not know are passed over.
-func ParseInfo(text []byte) (*Info, error) {
+// Parse reads a settings text; keys that it does not know are passed over.
+func Parse(text []byte) (*Info, error) {
 	var in Info
 	if err := json.Unmarshal(text, &in); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- a/cmd/benchlink/settings.go
+++ b/internal/reading/bootinfo/settings.go
@@ -1,4 +1,4 @@
-package main
+package bootinfo
 
 import (
 	"fmt"
@@ -6,11 +6,10 @@
 	"time"
 
 	"forkhead"
-	"forkhead/internal/wire"
 )
 
-// duration turns wire milliseconds into a duration of whole microseconds.
-func duration(ms float64) time.Duration {
+// Duration turns milliseconds into a duration of whole microseconds.
+func Duration(ms float64) time.Duration {
 	us := math.Round(ms * 1000)
 	switch {
 	case math.IsNaN(us):
@@ -23,10 +22,11 @@
 	return time.Duration(us) * time.Microsecond
 }
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+// Milliseconds is the other way.
+func Milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// settings translates the settings text of a Boot.
-func settings(in *wire.Info) (forkhead.Settings, error) {
+// Settings translates for the module, or says which part it cannot use.
+func Settings(in *Info) (forkhead.Settings, error) {
 	f := in.FamilyInfo
 	s := forkhead.Settings{
 		Placers: in.Balancers, Self: in.Me, Zone: in.Zone,
@@ -40,10 +40,10 @@
 		ReportsAsked:     f.ReportCounts == "asked",
 		MaxAttempts:      in.Caps.MaxAttempts, ParallelAttempts: in.Caps.ParallelTries,
 		MayWithdraw: in.Caps.Cancel, MayProbe: in.Caps.Probing, MayTell: in.Caps.Peers,
-		OwnerWait: duration(f.OwnerWait), MaxRetryAfter: duration(in.Caps.MaxRetryAfter),
-		ConnectTimeout: duration(in.Caps.ConnectTimeout), AnswerSlack: duration(in.Rules.AnswerSlack),
-		DrainGrace: duration(in.Rules.StopSendingWithin), MustAskWithin: duration(in.Rules.MustAskIn),
-		ColdFor: duration(in.Rules.Cold), ColdWindow: duration(in.Rules.Fall), ColdOffers: f.ColdSends,
+		OwnerWait: Duration(f.OwnerWait), MaxRetryAfter: Duration(in.Caps.MaxRetryAfter),
+		ConnectTimeout: Duration(in.Caps.ConnectTimeout), AnswerSlack: Duration(in.Rules.AnswerSlack),
+		DrainGrace: Duration(in.Rules.StopSendingWithin), MustAskWithin: Duration(in.Rules.MustAskIn),
+		ColdFor: Duration(in.Rules.Cold), ColdWindow: Duration(in.Rules.Fall), ColdOffers: f.ColdSends,
 		ColdFrom: in.Rules.ColdFrom, ColdMultiple: in.Rules.FallMultiple,
 		OverShareWorth: in.OverShareWorth,
 		Prices: forkhead.Prices{
@@ -68,7 +68,7 @@
 	return s, classes(&s, in)
 }
 
-func classes(s *forkhead.Settings, in *wire.Info) error {
+func classes(s *forkhead.Settings, in *Info) error {
 	f := in.FamilyInfo
 	for _, n := range []int{
 		len(f.ClassMost), len(f.ClassPriority), len(f.ClassSpread), len(f.EasyUntil), len(f.ClassFade),
@@ -80,7 +80,7 @@
 	}
 	for i, c := range in.Classes {
 		class := forkhead.Class{
-			Window: duration(c.MemorySpan), Aim: duration(c.Aim), Worth: c.Points, LateWorth: c.LateWorth,
+			Window: Duration(c.MemorySpan), Aim: Duration(c.Aim), Worth: c.Points, LateWorth: c.LateWorth,
 			StartWorth: f.PromptStartS[i], Priority: f.ClassPriority[i], Kind: f.KindByClass[i],
 			Most: f.ClassMost[i], Calm: f.EasyUntil[i], Fade: f.ClassFade[i],
 		}
--- a/internal/running/netio/netio.go
+++ b/internal/running/netio/netio.go
@@ -5,15 +5,25 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 )
 
-func init() { logging.SetLevel(logging.LevelNone) } // what matters comes back as errors
+func init() {
+	logging.SetLevel(logging.LevelNone) // what matters comes back as errors
+	// nbio keeps a table of connections by descriptor, 16 MiB by default, which each collection goes through: no
+	// descriptor is above the process's limit.
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < uint64(nbio.MaxOpenFiles) {
+		nbio.MaxOpenFiles = int(limit.Cur) + 1
+	}
+}
 
 // Handler takes what happens on a connection. Data comes from one goroutine at a time and must
 // not keep p. Closed comes once; Data may still be running then.
@@ -92,11 +102,6 @@
 // that is stopped before its goroutine has come to its loop forgets that it was, spins, and Stop
 // waits for it for good (nbio 1.6.8: readWriteLoop sets shutdown to false).
 func (e *Engine) prove(pollers int) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	defer ln.Close()
 	const tries = 64
 	taken := make(chan int, tries)
 	proven := map[int]bool{}
@@ -104,15 +109,11 @@
 		if try == tries {
 			return errors.New("netio: the pollers do not take events")
 		}
-		out, err := net.Dial("tcp", ln.Addr().String())
+		out, in, err := pair()
 		if err != nil {
 			return err
 		}
 		defer out.Close()
-		in, err := ln.Accept()
-		if err != nil {
-			return err
-		}
 		nb, err := nbio.NBConn(in)
 		if err != nil {
 			return err
@@ -136,6 +137,24 @@
 	return nil
 }
 
+// pair makes two ends of a stream without a listener: where a placer may listen is not ours to choose.
+func pair() (net.Conn, net.Conn, error) {
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	var ends [2]net.Conn
+	for i, fd := range fds {
+		f := os.NewFile(uintptr(fd), "pair")
+		ends[i], err = net.FileConn(f) // takes a copy
+		_ = f.Close()
+		if err != nil {
+			return nil, nil, err
+		}
+	}
+	return ends[0], ends[1], nil
+}
+
 // prover says which poller took an event.
 type prover struct {
 	n     int
--- /dev/null
+++ b/internal/running/noded/noded.go
@@ -0,0 +1,393 @@
+// Package noded puts the core of a placer on the users' platform on sockets: connections of owners and to hosts, the
+// change log, datagrams between placers and the clock. It carries and decides nothing.
+package noded
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"forkhead"
+	"forkhead/internal/placing/node"
+	"forkhead/internal/protocol/platform"
+	"forkhead/internal/reading/bootinfo"
+	"forkhead/internal/running/clock"
+	"forkhead/internal/running/loop"
+	"forkhead/internal/running/netio"
+)
+
+// Bounds of the shell.
+const (
+	mostJobs      = 128       // of up to 32 KiB each: pollers wait beyond it
+	toOwner       = 256 << 10 // bytes that an owner leaves unread before its connection is closed
+	toHost        = 1 << 20   // and a host
+	spareSockets  = 24        // descriptors for all but owners and hosts
+	acceptReserve = 8         // accepted connections that the core has not yet heard of
+)
+
+// Options are what a placer runs with.
+type Options struct {
+	Config *platform.Config
+	Log    zerolog.Logger
+	// Tap is shown each step; it must keep none of it. nil: nobody looks.
+	Tap func(now time.Duration, in []node.Input, out []node.Output)
+}
+
+// Server is a running placer.
+type Server struct {
+	log    zerolog.Logger
+	clock  *clock.Clock
+	engine *netio.Engine
+	loop   *loop.Loop
+	core   *node.Core
+	tap    func(now time.Duration, in []node.Input, out []node.Output)
+
+	inputs []node.Input
+	owners map[uint64]*wire
+	links  map[uint64]*wire
+	dirty  []*wire
+	front  net.Listener
+
+	lastOwner  atomic.Uint64
+	accepted   atomic.Int64
+	mostOwners int
+
+	changes *changes
+	tell    net.PacketConn
+	self    int
+	peers   []netip.AddrPort
+	all     netip.AddrPort
+
+	ended    chan struct{} // closed when nothing is owed any more
+	endOnce  sync.Once
+	stopOnce sync.Once
+	wait     sync.WaitGroup
+}
+
+// wire is one connection with what is to be written to it.
+type wire struct {
+	s      *Server
+	id     uint64
+	owner  bool
+	conn   *netio.Conn // nil: being made
+	buf    []byte
+	dirty  bool
+	closed bool // by the core
+}
+
+// Start begins to serve.
+func Start(o Options) (*Server, error) {
+	cfg := o.Config
+	info, err := bootinfo.Parse(cfg.Settings)
+	if err != nil {
+		return nil, err
+	}
+	set, err := bootinfo.Settings(info)
+	if err != nil {
+		return nil, err
+	}
+	sockets := cfg.Limits.Sockets
+	if sockets == 0 {
+		sockets = 1024
+	}
+	room := max(sockets-spareSockets, 16)
+	c := node.Config{
+		Settings: set, Idle: bootinfo.Duration(info.Caps.ConnIdle), Seed: cfg.SeedNumber(), Known: cfg.Known.Results,
+		Owners: room * 2 / 3, Links: room - room*2/3 - acceptReserve,
+		Names: node.Names{Zones: info.Zones, Kinds: info.Kinds, Load: info.LoadInfo.Fields},
+	}
+	for i := range info.Classes {
+		c.Names.Classes = append(c.Names.Classes, info.Classes[i].Name)
+	}
+	for i := range info.Tenants {
+		c.Names.Tenants = append(c.Names.Tenants, info.Tenants[i].Name)
+	}
+	core, err := node.New(c)
+	if err != nil {
+		return nil, err
+	}
+	engine, err := netio.New("node", 1)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		log: o.Log, clock: clock.New(), engine: engine, core: core, tap: o.Tap, owners: map[uint64]*wire{}, links: map[uint64]*wire{},
+		mostOwners: c.Owners + acceptReserve, self: info.Me, ended: make(chan struct{}),
+	}
+	s.loop = loop.New(s.clock, mostJobs, s.step)
+	if err := s.listenPeers(cfg); err != nil {
+		engine.Stop()
+		return nil, err
+	}
+	if s.front, err = engine.Listen(cfg.Listen, toOwner, s.accept); err != nil {
+		engine.Stop()
+		s.closeTell()
+		return nil, fmt.Errorf("owners: %w", err)
+	}
+	s.loop.Start()
+	last := cfg.Known.Seq
+	for _, ch := range cfg.Known.Results {
+		last = max(last, ch.Seq)
+	}
+	s.changes = follow(cfg.ChangeLog, last, s.log, func(ch platform.Change) {
+		s.loop.Wait(func() { s.put(node.Changed{Change: ch}) })
+	})
+	return s, nil
+}
+
+func (s *Server) listenPeers(cfg *platform.Config) error {
+	if cfg.PeerListen == "" {
+		return nil
+	}
+	for _, p := range cfg.Peers {
+		at, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return fmt.Errorf("peers: %w", err)
+		}
+		s.peers = append(s.peers, at)
+	}
+	var err error
+	if cfg.PeersAll != "" {
+		if s.all, err = netip.ParseAddrPort(cfg.PeersAll); err != nil {
+			return fmt.Errorf("peers_all: %w", err)
+		}
+	}
+	if s.tell, err = net.ListenPacket("udp", cfg.PeerListen); err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	s.wait.Add(1)
+	go s.hear()
+	return nil
+}
+
+func (s *Server) closeTell() {
+	if s.tell != nil {
+		_ = s.tell.Close()
+	}
+}
+
+// Reload follows the change log at the address that a new configuration names; all else stays as it was.
+func (s *Server) Reload(cfg *platform.Config) { s.changes.move(cfg.ChangeLog) }
+
+// Stop asks the core to end; Ended tells when nothing is owed any more.
+func (s *Server) Stop() { s.loop.Do(func() { s.put(node.Stopping{}) }) }
+
+// Ended is closed when the core has ended after Stop.
+func (s *Server) Ended() <-chan struct{} { return s.ended }
+
+// Address is where owners connect.
+func (s *Server) Address() string { return s.front.Addr().String() }
+
+// Kill ends the placer at once.
+func (s *Server) Kill() {
+	s.stopOnce.Do(func() {
+		s.changes.stop()
+		s.loop.Stop()
+		s.closeTell()
+		s.engine.Stop()
+		s.wait.Wait()
+	})
+}
+
+func (s *Server) put(in node.Input) { s.inputs = append(s.inputs, in) }
+
+func (s *Server) step(now time.Duration) (time.Duration, bool) {
+	in := s.inputs
+	s.inputs = nil
+	out := s.core.Step(now, in...)
+	if s.tap != nil {
+		s.tap(now, in, out)
+	}
+	for _, o := range out {
+		s.carry(o)
+	}
+	for _, w := range s.dirty {
+		w.flush()
+	}
+	s.dirty = s.dirty[:0]
+	return s.core.Next(), true
+}
+
+func (s *Server) carry(o node.Output) {
+	switch o := o.(type) {
+	case node.ToOwner:
+		s.write(s.owners[o.Owner], o.Line)
+	case node.ToHost:
+		s.write(s.links[o.Link], o.Line)
+	case node.CloseOwner:
+		s.close(s.owners, o.Owner)
+	case node.CloseLink:
+		s.close(s.links, o.Link)
+	case node.Dial:
+		s.dial(o)
+	case node.ToPlacer:
+		s.send(o)
+	case node.Deafen:
+		_ = s.front.Close()
+	case node.Ended:
+		s.endOnce.Do(func() { close(s.ended) })
+	case node.Logged:
+		if o.Defect {
+			s.log.Error().Msg(o.Text)
+		} else {
+			s.log.Info().Msg(o.Text)
+		}
+	}
+}
+
+func (s *Server) write(w *wire, line []byte) {
+	if w == nil || w.conn == nil {
+		return
+	}
+	w.buf = append(w.buf, line...)
+	if !w.dirty {
+		w.dirty = true
+		s.dirty = append(s.dirty, w)
+	}
+}
+
+// flush writes what a step has for a connection; a write that fails closes it, which is heard of by Closed.
+func (w *wire) flush() {
+	w.dirty = false
+	if len(w.buf) > 0 {
+		_ = w.conn.Write(w.buf)
+		w.buf = nil
+	}
+}
+
+func (s *Server) close(of map[uint64]*wire, id uint64) {
+	w := of[id]
+	if w == nil {
+		return
+	}
+	delete(of, id)
+	w.closed = true
+	if w.conn != nil {
+		w.flush()
+		w.conn.Close()
+	}
+}
+
+// accept takes a connection of an owner. It guards against more of them than descriptors: the core makes room, and
+// what comes faster than that is closed.
+func (s *Server) accept(c *netio.Conn) netio.Handler {
+	if int(s.accepted.Add(1)) > s.mostOwners {
+		s.accepted.Add(-1)
+		return nil
+	}
+	w := &wire{s: s, id: s.lastOwner.Add(1), owner: true, conn: c}
+	if !s.loop.Wait(func() {
+		if !c.Gone() {
+			s.owners[w.id] = w
+			s.put(node.Accepted{Owner: w.id})
+		}
+	}) {
+		s.accepted.Add(-1)
+		return nil
+	}
+	return w
+}
+
+func (s *Server) dial(o node.Dial) {
+	w := &wire{s: s, id: o.Link}
+	s.links[o.Link] = w
+	s.engine.Dial(o.Address, connectWithin, toHost, w, func(c *netio.Conn, err error) {
+		s.loop.Do(func() {
+			switch {
+			case w.closed:
+				if c != nil {
+					c.Close()
+				}
+			case err != nil || c.Gone():
+				delete(s.links, o.Link)
+				s.put(node.DialFailed{Link: o.Link, Refused: errors.Is(err, syscall.ECONNREFUSED)})
+			default:
+				w.conn = c
+				s.put(node.Dialled{Link: o.Link})
+			}
+		})
+	})
+}
+
+// Data takes bytes of a connection.
+func (w *wire) Data(_ *netio.Conn, p []byte) {
+	data := append([]byte(nil), p...)
+	w.s.loop.Wait(func() {
+		switch {
+		case w.closed:
+		case w.owner:
+			w.s.put(node.OwnerData{Owner: w.id, Data: data})
+		default:
+			w.s.put(node.HostData{Link: w.id, Data: data})
+		}
+	})
+}
+
+// Closed takes the end of a connection.
+func (w *wire) Closed(*netio.Conn, error) {
+	if w.owner {
+		w.s.accepted.Add(-1)
+	}
+	w.s.loop.Do(func() {
+		if w.closed {
+			return
+		}
+		w.closed = true
+		if w.owner {
+			delete(w.s.owners, w.id)
+			w.s.put(node.OwnerGone{Owner: w.id})
+		} else {
+			delete(w.s.links, w.id)
+			w.s.put(node.LinkGone{Link: w.id})
+		}
+	})
+}
+
+// ---- Other placers.
+
+func (s *Server) send(o node.ToPlacer) {
+	udp, ok := s.tell.(*net.UDPConn)
+	if !ok {
+		return
+	}
+	to := s.all
+	if o.To != forkhead.Everyone {
+		if o.To < 0 || o.To >= len(s.peers) {
+			return
+		}
+		to = s.peers[o.To]
+	}
+	if to.IsValid() {
+		_, _ = udp.WriteToUDPAddrPort(o.Data, to) // a message may be lost
+	}
+}
+
+func (s *Server) hear() {
+	defer s.wait.Done()
+	udp := s.tell.(*net.UDPConn)
+	buf := make([]byte, platform.MostDatagram+1)
+	for {
+		n, from, err := udp.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || n > platform.MostDatagram {
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		for i, p := range s.peers {
+			if i != s.self && p == from {
+				data := append([]byte(nil), buf[:n]...)
+				s.loop.Wait(func() { s.put(node.Datagram{From: i, Data: data}) })
+				break
+			}
+		}
+	}
+}
