A set-up may wait for longer than an hour: handed-over tasks are taken

Ruled out by the trace: loss of hosts (nothing logged) and the list; the set-ups with at carry left 4294967 ms, which parse in placing/node/owners.go turned down at its bound of an hour.

--- a/internal/placing/node/api.go
+++ b/internal/placing/node/api.go
@@ -53,7 +53,7 @@
 	owedFor       = 8 * time.Second
 	forgetHost    = 30 * time.Second // a host that is gone and holds nothing is forgotten
 	tendEvery     = 50 * time.Millisecond
-	mostWait      = time.Hour // the longest that an owner may say it waits
+	mostWait      = 60 * 24 * time.Hour // the longest that an owner may say it waits
 	stopListening = 800 * time.Millisecond
 	stopAtLeast   = 1200 * time.Millisecond
 )
