--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -313,7 +313,7 @@
 		return // an answer then comes when the task runs, in any order
 	}
 	for _, t := range c.triesOf(answered.host) {
-		if l := t.link; l != nil && l != answered.link && t.phase() == attempt.Out && t.at+overtaken < answered.at && l.heardAt < t.at {
+		if l := t.link; l != nil && l != answered.link && t.phase() == attempt.Out && t.at+overtaken < answered.at && l.heardAt <= t.at {
 			c.logf("%s: a connection is closed: later offers are answered and its own is not", l.host.name)
 			c.cut(l)
 		}
--- a/internal/placing/node/owners.go
+++ b/internal/placing/node/owners.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -36,7 +37,8 @@
 			if len(o.open) > 0 {
 				continue
 			}
-			if victim == nil || victim.spoke && !o.spoke || victim.spoke == o.spoke && o.usedAt < victim.usedAt {
+			if victim == nil || victim.spoke && !o.spoke || victim.spoke == o.spoke &&
+				(o.usedAt < victim.usedAt || o.usedAt == victim.usedAt && o.id < victim.id) {
 				victim = o
 			}
 		}
@@ -365,11 +367,16 @@
 
 // tendOwners closes connections that have said nothing, or not ended a line, for too long.
 func (c *Core) tendOwners() {
+	var late []*owner
 	for _, o := range c.owners {
 		if o.lineAt > 0 && c.now > o.lineAt+wholeLine || !o.spoke && len(o.open) == 0 && c.now > o.at+sayFirst {
-			c.hangUp(o)
+			late = append(late, o)
 		}
 	}
+	slices.SortFunc(late, func(a, b *owner) int { return cmp.Compare(a.id, b.id) })
+	for _, o := range late {
+		c.hangUp(o)
+	}
 	for len(c.owed) > 0 && c.owed[0].by < c.now {
 		c.owed = c.owed[1:]
 	}
--- a/internal/running/netio/netio.go
+++ b/internal/running/netio/netio.go
@@ -114,6 +114,11 @@
 			return err
 		}
 		defer out.Close()
+		if try%2 == 1 { // a poller takes descriptors by their number: held ones make the numbers differ
+			if held, err := syscall.Dup(0); err == nil {
+				defer syscall.Close(held)
+			}
+		}
 		nb, err := nbio.NBConn(in)
 		if err != nil {
 			return err
