Handed-over tasks are in the view already: they are not counted twice

Checked: the owners' requests in the trace are answered in 15 ms once offered and no attempt is refused, so it is neither the sockets nor the hosts; the fleet's own list showed room. Ruled out as well: bad clients (all 334 got their answer, price 0) and hosts that refuse. At fault: handOver in state.go gave the task the time of the handing over, so since counted it as taken after the view, on top of the view that shows it.

--- a/rules_test.go
+++ b/rules_test.go
@@ -340,3 +340,19 @@
 		t.Errorf("%d machines get tasks, want all 6", len(seen))
 	}
 }
+
+// At a start the list shows the room that tasks leave which run already; they were counted once more when they were
+// handed over, and all machines looked full for the first seconds.
+func TestHandedOverTaskIsInTheView(t *testing.T) {
+	machines := fleet(2)
+	for i := range machines {
+		machines[i].FreeCores, machines[i].FreeMemory = 3, 10 // of 10 and 20
+	}
+	b := newBench(t, testSettings(), machines)
+	for i := range 14 {
+		task := b.task(0, uint64(100+i))
+		b.step(HandedOver{Task: task, Machine: machines[i%2].ID})
+	}
+	_, actions := b.arrive(0, 7)
+	b.offered(actions)
+}
--- a/state.go
+++ b/state.go
@@ -398,6 +398,9 @@
 	p.tasks[t.ID] = t
 	a := p.attempt(t, p.machine(ev.Machine))
 	a.bound = true
+	// The view has it already. Guards against counting what ran before this life a second time, as taken since the
+	// view: all machines then looked full for the first seconds.
+	a.sentAt = p.now - viewMemory
 	p.runs(a)
 }
 
