Owners' connections that tasks stand for are not pushed out by those who ask once and stay

Ruled out: the restart (the placer was up) and the host's word. At fault: accepted in placing/node/owners.go chose by the last use alone among those that had spoken, so that a flood made the usual owner's connections the oldest, and tell then took the last used, a stranger's. Change: connections rank by what they are good for (silent, nothing placed, nothing standing, something standing, which stays); tell takes the one that most tasks were placed for.

--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -482,6 +482,7 @@
 	default:
 		cause = platform.CauseReset
 	}
+	c.fell(r)
 	if r.phase == standing && cause != platform.CauseMoved {
 		c.tell(r, platform.Append(nil, platform.Release, r.ref, cause, nil))
 	}
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -331,6 +331,7 @@
 	r.ask.On(t.number, attempt.Accepted)
 	c.close(r, standing)
 	c.tell(r, platform.Append(nil, platform.Answer, r.ref, platform.NoCause, m.Desc))
+	c.stood(r)
 	c.event(forkhead.Bound{Task: r.id, Attempt: t.number, Machine: forkhead.MachineID(t.host.number), Took: c.now - t.at})
 }
 
--- a/internal/placing/node/owners.go
+++ b/internal/placing/node/owners.go
@@ -25,11 +25,34 @@
 	lineAt time.Duration // the line in hand began; 0: none has
 	spoke  bool          // it has sent a message that can be read
 	bad    int           // malformed ones
+	stands int           // tasks that came on it and stand
+	placed int           // tasks that came on it and were placed or handed over, in all
 	open   map[*request]struct{}
 }
 
+// use ranks connections by what they have been good for: those of usual owners carry one task after the other, and
+// what becomes of these is told on them.
+func (o *owner) use() int {
+	switch {
+	case !o.spoke:
+		return 0
+	case o.placed == 0:
+		return 1
+	case o.stands == 0:
+		return 2
+	}
+	return 3
+}
+
+// less says whether a is the first of two to go.
+func (a *owner) less(b *owner) bool {
+	return cmp.Or(cmp.Compare(a.use(), b.use()), cmp.Compare(a.usedAt, b.usedAt), cmp.Compare(a.id, b.id)) < 0
+}
+
 // accepted takes in a connection. Where there are too many, one that has said nothing goes, the oldest first, then one
-// that has no open request; where all have, the new one goes.
+// that nothing was placed for, then one that nothing stands for; where all others have an open request or a standing
+// task, the new one goes. It guards against usual owners that are pushed out by hundreds who ask once and stay: what
+// became of their tasks could then be told nowhere.
 func (c *Core) accepted(id uint64) {
 	if len(c.owners) >= c.cfg.Owners {
 		var victim *owner
@@ -37,8 +60,7 @@
 			if len(o.open) > 0 {
 				continue
 			}
-			if victim == nil || victim.spoke && !o.spoke || victim.spoke == o.spoke &&
-				(o.usedAt < victim.usedAt || o.usedAt == victim.usedAt && o.id < victim.id) {
+			if o.use() < 3 && (victim == nil || o.less(victim)) {
 				victim = o
 			}
 		}
@@ -82,8 +104,8 @@
 	}
 }
 
-// tell writes a line about a request to its owner: on the connection that it came on, else on another one that has
-// been used, else on the next that is.
+// tell writes a line about a request to its owner: on the connection that it came on, else on the one that most tasks
+// were placed for, else on the next that one is placed for.
 func (c *Core) tell(r *request, line []byte) {
 	if c.owners[r.owner] != nil {
 		c.do(ToOwner{r.owner, line})
@@ -91,7 +113,7 @@
 	}
 	var best *owner
 	for _, o := range c.owners {
-		if o.spoke && o.bad == 0 && (best == nil || o.usedAt > best.usedAt || o.usedAt == best.usedAt && o.id > best.id) {
+		if o.placed > 0 && o.bad == 0 && (best == nil || o.placed > best.placed || o.placed == best.placed && o.id < best.id) {
 			best = o
 		}
 	}
@@ -156,11 +178,26 @@
 	default:
 		c.hangUp(o)
 	}
-	if o.spoke && len(c.owed) > 0 && c.owners[o.id] == o {
-		for _, w := range c.owed {
-			c.do(ToOwner{o.id, w.line})
-		}
-		c.owed = nil
+}
+
+// stood counts a task that stands for the connection that it came on, and tells there what could not be told yet.
+func (c *Core) stood(r *request) {
+	o := c.owners[r.owner]
+	if o == nil {
+		return
+	}
+	o.stands++
+	o.placed++
+	for _, w := range c.owed {
+		c.do(ToOwner{o.id, w.line})
+	}
+	c.owed = nil
+}
+
+// fell takes a standing task that is over off the count.
+func (c *Core) fell(r *request) {
+	if o := c.owners[r.owner]; o != nil {
+		o.stands--
 	}
 }
 
@@ -206,7 +243,11 @@
 		switch {
 		case r.digest == digest && (r.phase == open || r.phase == standing):
 			// The same again: its connection was closed, or it is being closed.
-			if old := c.owners[r.owner]; old != nil && r.counted {
+			if r.phase == standing {
+				c.fell(r)
+				r.owner = o.id
+				c.stood(r)
+			} else if old := c.owners[r.owner]; old != nil {
 				delete(old.open, r)
 				o.open[r] = struct{}{}
 			}
@@ -277,6 +318,7 @@
 	r.tries = []*try{t}
 	h.tries[r.ref] = t
 	c.services[task.Service] = append(c.services[task.Service], t)
+	c.stood(r)
 	c.event(forkhead.HandedOver{Task: r.task, Machine: forkhead.MachineID(number)})
 }
 
