The emptiest machines rest while the others hold all that is asked for

Change: restSome, where few placers share what they know of room; needs try machines that rest after the others, but for programs that are warm.

--- a/placer.go
+++ b/placer.go
@@ -28,6 +28,8 @@
 	firstLag = 2 // the place in lags to begin with: a second
 	// Ended attempts are remembered this long for a view that is later still.
 	viewMemory = 10 * time.Second
+	// Machines rest where the others, filled up to this share, hold all that is asked for, and one is spare.
+	restFill = 0.85
 	// A machine starts few tasks at a time; more than this of our own make each other late.
 	startLine = 3
 	// Programs that a machine is taken to keep after the last task of a service. Too many costs
@@ -45,7 +47,7 @@
 	easeBack           = 90 * time.Second
 	// A task that gets less than this is moved where one of the first needs finds another machine.
 	moveBelow   = 0.5
-	moveNeeds   = 2
+	moveNeeds   = 3
 	movesAtOnce = 8 // by all placers together, in a second
 	moveRest    = 2 * time.Second
 	// A slow start is one of twenty; until learned it takes so long. One that takes twice as long will
@@ -178,9 +180,46 @@
 	if p.regroup {
 		p.reorder()
 	}
+	for _, pl := range p.pools {
+		p.restSome(pl)
+	}
 	p.changed = true
 }
 
+// restSome lets the emptiest machines of a pool rest where the others hold all that is asked for with room
+// to spare: they get nothing new while that is so, and are free of tasks in time. Machines in use beyond need
+// have a price. It acts where few placers share what they know of room. It may hurt where many tasks come at
+// once: one that finds no room or only long lines elsewhere wakes them.
+func (p *Placer) restSome(pl *pool) {
+	var ready []*machine
+	cores, memory := 0.0, 0.0
+	for _, m := range pl.order {
+		if m.rests = false; m.State == Ready {
+			freeCores, freeMemory := p.free(m)
+			kind := p.set.Kinds[m.Kind]
+			cores, memory = cores+kind.Cores-freeCores, memory+kind.Memory-freeMemory
+			ready = append(ready, m)
+		}
+	}
+	if p.set.Prices.Machine == 0 || !p.knowsRooms() || len(ready) == 0 {
+		return
+	}
+	slices.SortStableFunc(ready, func(a, b *machine) int {
+		return cmp.Compare(a.freeShare(p), b.freeShare(p))
+	})
+	kind := p.set.Kinds[ready[0].Kind]
+	need := int(math.Ceil(max(cores/kind.Cores, memory/kind.Memory)/restFill)) + 1
+	for _, m := range ready[min(need, len(ready)):] {
+		m.rests = true
+	}
+}
+
+// freeShare is how much of the machine nobody has asked for, of cores and memory the scarcer.
+func (m *machine) freeShare(p *Placer) float64 {
+	cores, memory := p.free(m)
+	return min(cores/p.set.Kinds[m.Kind].Cores, memory/p.set.Kinds[m.Kind].Memory)
+}
+
 // listEntry takes one entry of the list.
 func (p *Placer) listEntry(entry Machine) {
 	if entry.Kind < 0 || entry.Kind >= len(p.pools) {
@@ -372,6 +411,7 @@
 // need is what a machine must offer to be drawn.
 type need struct {
 	warm bool // it holds the service's program
+	wake bool // it may be one that rests
 	line int  // fewer than so many of our starts are pending there
 	push bool // room counts what tasks of lower priority hold, which the machine pushes out
 	full bool // room as far as it accepts, not only as far as it serves well
@@ -382,10 +422,13 @@
 // so a machine with the program comes first, wherever it is, then one with an empty line.
 var needs = []need{
 	{warm: true, line: 2 * startLine},
+	{warm: true, line: 2 * startLine, wake: true},
 	{line: 1},
 	{line: startLine},
-	{line: 2 * startLine, full: true},
-	{line: 2 * startLine, full: true, push: true},
+	{line: 1, wake: true},
+	{line: startLine, wake: true},
+	{line: 2 * startLine, full: true, wake: true},
+	{line: 2 * startLine, full: true, push: true, wake: true},
 }
 
 // choose looks for each need in the task's own group first and then in ever farther ones.
@@ -438,7 +481,7 @@
 	p.drawn = p.drawn[:0]
 	warm, many := want.warm, !p.knowsRooms()
 	for _, m := range group {
-		if !p.allowed(t, m) || !p.fits(t, m, want) || !p.hasTurn(t, m) {
+		if m.rests && !want.wake || !p.allowed(t, m) || !p.fits(t, m, want) || !p.hasTurn(t, m) {
 			continue
 		}
 		if holds := p.holds(m, t.Service); holds && !warm {
--- a/rules_test.go
+++ b/rules_test.go
@@ -356,3 +356,31 @@
 	_, actions := b.arrive(0, 7)
 	b.offered(actions)
 }
+
+// Machines in use beyond need have a price: the emptiest rest, and wake where the others have no room.
+func TestEmptiestMachinesRest(t *testing.T) {
+	set := testSettings()
+	set.Prices.Machine = 0.15
+	machines := fleet(6)
+	machines[0].FreeCores, machines[1].FreeCores = 4, 4 // 12 of 60 asked: two machines hold it, one is spare
+	b := newBench(t, set, machines)
+	used, ids := map[MachineID]int{}, []TaskID{}
+	place := func(n int) {
+		for range n {
+			id, actions := b.arrive(0, uint64(1000+len(ids)))
+			for _, o := range only[Offer](actions) {
+				used[o.Machine]++
+				ids = append(ids, id)
+				b.step(Bound{Task: id, Machine: o.Machine}, Note{Task: id, Machine: o.Machine, Kind: NoteRuns, Amount: 1})
+			}
+		}
+	}
+	place(8)
+	if len(used) > 3 || used[1]+used[2] == 0 {
+		t.Errorf("8 tasks go to %v, want to the two machines in use and one spare at most", used)
+	}
+	place(40)
+	if len(used) != 6 {
+		t.Errorf("48 tasks go to %v, want to all 6", used)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -100,6 +100,7 @@
 	freeAt       time.Duration
 	stale        bool
 	restUntil    time.Duration // its line of offers was full
+	rests        bool          // nothing new while others have room
 }
 
 type task struct {
