Gone machines are forgotten, and a gap in the change log is asked for again

A number missing in the change log was passed over with its events lost. Tests: TestGoneMachinesAreForgotten, TestSequence.

--- a/internal/protocol/platform/events.go
+++ b/internal/protocol/platform/events.go
@@ -126,3 +126,23 @@
 	n, err := strconv.ParseUint(digits, 16, 32)
 	return uint32(n), err == nil
 }
+
+// Sequence keeps the numbers of the change log in order: each counts once, and a gap is asked for once more.
+type Sequence struct {
+	Last uint64 // the last that was taken
+	gap  uint64 // where one was missing at the last asking; 0: nowhere
+}
+
+// Next says what to do with an event of that number: take it, pass it over, or ask again behind Last, as events between
+// are missing. A gap that is there when asked again is taken to be one of the numbers, not of events.
+func (s *Sequence) Next(seq uint64) (take, again bool) {
+	switch {
+	case seq <= s.Last:
+		return false, false
+	case seq > s.Last+1 && s.gap != s.Last+1:
+		s.gap = s.Last + 1
+		return false, true
+	}
+	s.Last = seq
+	return true, false
+}
--- a/internal/protocol/platform/platform_test.go
+++ b/internal/protocol/platform/platform_test.go
@@ -162,3 +162,20 @@
 		}
 	}
 }
+
+// Each number counts once; a gap is asked for once, and then taken as it is.
+func TestSequence(t *testing.T) {
+	s := Sequence{Last: 3}
+	for i, c := range []struct {
+		seq         uint64
+		take, again bool
+	}{
+		{3, false, false}, {4, true, false}, {4, false, false}, {7, false, true}, // asked again:
+		{5, true, false}, {6, true, false}, {7, true, false}, {9, false, true}, // asked again, and it is one:
+		{9, true, false}, {10, true, false}, {12, false, true},
+	} {
+		if take, again := s.Next(c.seq); take != c.take || again != c.again {
+			t.Errorf("%d: %d is taken %v, asked again %v", i, c.seq, take, again)
+		}
+	}
+}
--- a/internal/running/noded/changes.go
+++ b/internal/running/noded/changes.go
@@ -31,14 +31,14 @@
 
 	mu      sync.Mutex
 	address string
-	last    uint64 // number of the last event that was taken
+	seq     platform.Sequence
 	cancel  context.CancelFunc
 	ended   bool
 }
 
 // follow begins behind the event of that number.
 func follow(address string, last uint64, log zerolog.Logger, take func(platform.Change)) *changes {
-	c := &changes{log: log, take: take, address: address, last: last, cancel: func() {}}
+	c := &changes{log: log, take: take, address: address, seq: platform.Sequence{Last: last}, cancel: func() {}}
 	c.done.Add(1)
 	go c.run()
 	return c
@@ -73,13 +73,13 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		c.cancel = cancel
-		address, last := c.address, c.last
+		address, last := c.address, c.seq.Last
 		c.mu.Unlock()
-		err := c.read(ctx, cancel, address)
+		err := c.read(ctx, cancel, address, last)
 		moved := ctx.Err() != nil
 		cancel()
 		c.mu.Lock()
-		came := c.last > last
+		came := c.seq.Last > last
 		c.mu.Unlock()
 		c.log.Debug().Err(err).Str("at", address).Msg("the change log broke off")
 		switch {
@@ -95,7 +95,7 @@
 }
 
 // read follows one stream until it ends, breaks or falls silent.
-func (c *changes) read(ctx context.Context, cancel func(), address string) error {
+func (c *changes) read(ctx context.Context, cancel func(), address string, last uint64) error {
 	silence := time.AfterFunc(silentLog, cancel)
 	defer silence.Stop()
 	tr := &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: connectWithin}).DialContext}
@@ -105,7 +105,7 @@
 		return err
 	}
 	req.Header.Set("Accept", "text/event-stream")
-	req.Header.Set("Last-Event-ID", strconv.FormatUint(c.last, 10))
+	req.Header.Set("Last-Event-ID", strconv.FormatUint(last, 10))
 	resp, err := tr.RoundTrip(req)
 	if err != nil {
 		return err
@@ -124,15 +124,16 @@
 		bad := error(nil)
 		feed := events.Feed(buf[:n], func(ev platform.Event) {
 			ch, err := platform.ReadChange(ev)
-			if err != nil {
-				bad = err
+			if err != nil || bad != nil {
+				bad = errors.Join(bad, err)
 				return
 			}
 			c.mu.Lock()
-			fresh := ch.Seq > c.last
-			c.last = max(c.last, ch.Seq)
+			take, again := c.seq.Next(ch.Seq)
 			c.mu.Unlock()
-			if fresh {
+			if again {
+				bad = fmt.Errorf("events before %d are missing", ch.Seq)
+			} else if take {
 				c.take(ch)
 			}
 		})
--- a/placer.go
+++ b/placer.go
@@ -74,6 +74,7 @@
 	retryEvery     = 50 * time.Millisecond
 	deadlineMargin = 5 * time.Millisecond // before its owner gives up, a tick or two, a task is ended
 	listTrouble    = 5                    // failed calls for the list in a row that are worth a page
+	forgetGone     = time.Minute          // a machine that is gone and holds nothing of ours is forgotten
 	// The pause after a failed call, doubled each time, and what each placer adds to the spread of
 	// all calls: the list is one service, which takes a few dozen calls a second.
 	askFirst = 300 * time.Millisecond
--- a/rules_test.go
+++ b/rules_test.go
@@ -384,3 +384,24 @@
 		t.Errorf("48 tasks go to %v, want to all 6", used)
 	}
 }
+
+// Over a long day of ever new machines those that are gone are forgotten, but for one that tasks of ours are on.
+func TestGoneMachinesAreForgotten(t *testing.T) {
+	b := newBench(t, testSettings(), fleet(3))
+	task := b.task(0, 7)
+	b.step(HandedOver{Task: task, Machine: 1})
+	b.step(Update{Mode: ListDelta, Machines: []Machine{{ID: 1, State: Gone}}})
+	for i := range MachineID(1000) {
+		b.now += time.Second
+		fresh := fleet(1)[0]
+		fresh.ID = 100 + i
+		b.step(Update{Mode: ListDelta, Machines: []Machine{fresh, {ID: 99 + i, State: Gone}}})
+	}
+	if n := len(b.p.machines); n > 70 {
+		t.Errorf("%d machines are known, want the few of the last minute", n)
+	}
+	if b.p.machines[1] == nil {
+		t.Error("a machine that holds a task is forgotten")
+	}
+	b.step(Outcome{Task: task.ID, Machine: 1, Result: Reset, Final: true})
+}
--- a/state.go
+++ b/state.go
@@ -101,6 +101,7 @@
 	stale        bool
 	restUntil    time.Duration // its line of offers was full
 	rests        bool          // nothing new while others have room
+	goneAt       time.Duration // found gone from the list
 }
 
 type task struct {
@@ -380,9 +381,15 @@
 	for _, pl := range p.pools {
 		pl.order = pl.order[:0]
 	}
-	for _, m := range p.machines {
-		if m.State != Gone {
+	for id, m := range p.machines {
+		switch {
+		case m.State != Gone:
+			m.goneAt = 0
 			p.pools[m.Kind].order = append(p.pools[m.Kind].order, m)
+		case m.goneAt == 0:
+			m.goneAt = p.now
+		case p.now > m.goneAt+forgetGone && !slices.ContainsFunc(m.attempts, func(a *attempt) bool { return !a.over }):
+			delete(p.machines, id) // guards against ever new machines that fill the memory
 		}
 	}
 	for _, pl := range p.pools {
