--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -46,6 +46,9 @@
 				o.Tap = noded.Trace(f)
 			}
 			s, err := noded.Start(o)
+			if errors.As(err, &noded.ConfigError{}) {
+				return badInput(err)
+			}
 			if err != nil {
 				return err
 			}
--- a/internal/running/noded/noded.go
+++ b/internal/running/noded/noded.go
@@ -40,6 +40,15 @@
 	Tap func(now time.Duration, in []node.Input, out []node.Output)
 }
 
+// ConfigError means that the configuration cannot be used.
+type ConfigError struct{ Err error }
+
+// Error says why.
+func (e ConfigError) Error() string { return "configuration: " + e.Err.Error() }
+
+// Unwrap gives the cause.
+func (e ConfigError) Unwrap() error { return e.Err }
+
 // Server is a running placer.
 type Server struct {
 	log    zerolog.Logger
@@ -82,16 +91,16 @@
 	closed bool // by the core
 }
 
-// Start begins to serve.
+// Start begins to serve. What is wrong with the configuration comes back as a ConfigError.
 func Start(o Options) (*Server, error) {
 	cfg := o.Config
 	info, err := bootinfo.Parse(cfg.Settings)
 	if err != nil {
-		return nil, err
+		return nil, ConfigError{err}
 	}
 	set, err := bootinfo.Settings(info)
 	if err != nil {
-		return nil, err
+		return nil, ConfigError{err}
 	}
 	sockets := cfg.Limits.Sockets
 	if sockets == 0 {
@@ -111,7 +120,7 @@
 	}
 	core, err := node.New(c)
 	if err != nil {
-		return nil, err
+		return nil, ConfigError{err}
 	}
 	engine, err := netio.New("node", 1)
 	if err != nil {
@@ -149,14 +158,14 @@
 	for _, p := range cfg.Peers {
 		at, err := netip.ParseAddrPort(p)
 		if err != nil {
-			return fmt.Errorf("peers: %w", err)
+			return ConfigError{fmt.Errorf("peers: %w", err)}
 		}
 		s.peers = append(s.peers, at)
 	}
 	var err error
 	if cfg.PeersAll != "" {
 		if s.all, err = netip.ParseAddrPort(cfg.PeersAll); err != nil {
-			return fmt.Errorf("peers_all: %w", err)
+			return ConfigError{fmt.Errorf("peers_all: %w", err)}
 		}
 	}
 	if s.tell, err = net.ListenPacket("udp", cfg.PeerListen); err != nil {
--- a/internal/running/noded/noded_test.go
+++ b/internal/running/noded/noded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	_ "embed"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -163,15 +164,8 @@
 	return fmt.Sprintf(`{"seq":%d,"fleet":{"seq":%d,"whole":%v,"hosts":[%s]}}`, seq, seq, whole, strings.Join(entries, ","))
 }
 
-const testSettings = `{"az":0,"dcs":["z"],"balancers":1,"me":0,"discovery":"automatic",
- "caps":{"cancel":true,"maxAttempts":4,"peers":true,"probing":true,"connIdle":30000,"connectTimeout":250},
- "classes":[{"name":"keyed","aim":800,"effect":"dedup","group":"all","memorySpan":8000,"points":2}],
- "tenants":[{"name":"acme","share":1}],
- "familyInfo":{"acceptsCores":1,"memBooking":1,"classFade":[0.2],"classMost":[0],"classPriority":[0],"classSpread":["none"],"coldSends":40,
-  "easyUntil":[0.9],"kindByClass":[-1],"kindCores":[400],"listsFree":true,"meanMemory":2,"memoryByKind":[400],"promptStartS":[10],
-  "saysYes":"accepted","unitCores":1,"reportCounts":"asked"},
- "kinds":["std"],"loadInfo":{"fields":["x0","x1"],"how":"answers"},
- "rules":{"cold":9000,"fall":1000,"mustAskIn":10000,"stopSendingWithin":250}}`
+//go:embed testdata/settings.json
+var testSettings string
 
 func start(t *testing.T, log *standLog) (*Server, *platform.Config) {
 	t.Helper()
