Of machines that may rest the older come first

At fault: restSome kept the fullest in use, which are the oldest, and a rolling replacement takes those first; its fresh machines, the emptiest, rested. Change: the latest warm start stays in use first, then the fullest.

--- a/placer.go
+++ b/placer.go
@@ -187,10 +187,11 @@
 	p.changed = true
 }
 
-// restSome lets the emptiest machines of a pool rest where the others hold all that is asked for with room
-// to spare: they get nothing new while that is so, and are free of tasks in time. Machines in use beyond need
-// have a price. It acts where few placers share what they know of room. It may hurt where many tasks come at
-// once: one that finds no room or only long lines elsewhere wakes them.
+// restSome lets machines of a pool rest where the others hold all that is asked for with room to spare: they
+// get nothing new while that is so, and are free of tasks in time. Machines in use beyond need have a price.
+// Those that started last stay in use, as a fleet that is replaced loses its oldest first, then the fullest.
+// It acts where few placers share what they know of room. It may hurt where many tasks come at once: one that
+// finds no room or only long lines elsewhere wakes them.
 func (p *Placer) restSome(pl *pool) {
 	var ready []*machine
 	cores, memory := 0.0, 0.0
@@ -206,7 +207,8 @@
 		return
 	}
 	slices.SortStableFunc(ready, func(a, b *machine) int {
-		return cmp.Compare(a.freeShare(p), b.freeShare(p))
+		older := cmp.Compare(b.warmSince(p), a.warmSince(p))
+		return cmp.Or(older, cmp.Compare(a.freeShare(p), b.freeShare(p)))
 	})
 	kind := p.set.Kinds[ready[0].Kind]
 	need := int(math.Ceil(max(cores/kind.Cores, memory/kind.Memory)/restFill)) + 1
@@ -215,6 +217,14 @@
 	}
 }
 
+// warmSince is when the machine started, if that was late and it is warm: the later, the longer it may stay.
+func (m *machine) warmSince(p *Placer) time.Duration {
+	if p.isCold(m) {
+		return 0
+	}
+	return m.Started
+}
+
 // freeShare is how much of the machine nobody has asked for, of cores and memory the scarcer.
 func (m *machine) freeShare(p *Placer) float64 {
 	cores, memory := p.free(m)
--- a/rules_test.go
+++ b/rules_test.go
@@ -405,3 +405,22 @@
 	}
 	b.step(Outcome{Task: task.ID, Machine: 1, Result: Reset, Final: true})
 }
+
+// A fleet that is replaced loses its oldest machines first: tasks that were packed onto those were cut with them.
+func TestOlderMachinesRestFirst(t *testing.T) {
+	set := testSettings()
+	set.Prices.Machine = 0.15
+	machines := fleet(6)
+	machines[0].FreeCores, machines[1].FreeCores = 4, 4 // the fullest, and of old
+	b := newBench(t, set, nil)
+	for i := 3; i < 6; i++ {
+		machines[i].Started = b.now - time.Minute
+	}
+	b.step(Update{Mode: ListFull, Machines: machines})
+	for service := range uint64(8) {
+		_, actions := b.arrive(0, 1000+service)
+		if o := b.offered(actions); o.Machine < 4 {
+			t.Errorf("a task goes to machine %d, one of the old ones", o.Machine)
+		}
+	}
+}
