Read over: one agenda for cores, one reading of load reports, less done each tick

Found in reading the change for the platform over, and mended without a change of what it does: - a third heap of timers beside those of placing/core and proving/lives: all three are placing/agenda now; - the names of load reports, twice: bootinfo.Tell serves the simulator's adapter and the node; - the bookkeeping of lines begun, twice: stream; the release to a host, five times: cancel; giving up all attempts of a request, four times: giveUpAll; collect-and-sort by hand: slices.SortedFunc; - state that could be derived or that nobody read: request.counted, Names.Load, Core.Seq; - triesThat filters before it sorts: each answer and each 50 ms had sorted all tasks of a host; - restSome counted the room of a fleet in which no machine ever rests; - host.since meant told to drain and told gone in turn. It is two figures now; the one difference is that a host which drained before it went does not get its drain grace anew.

--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"math"
 	"os"
 	"time"
 
@@ -273,22 +272,12 @@
 	if p == nil || len(values) == 0 {
 		return nil
 	}
-	nan := math.NaN()
-	r := &forkhead.Report{Cores: nan, Memory: nan, Queue: nan, Util: nan}
+	r := bootinfo.NoReport()
 	for i, name := range p.reportFields {
 		if i >= len(values) {
 			break
 		}
-		switch v := float64(values[i]); name {
-		case "x0":
-			r.Cores = v
-		case "x1":
-			r.Memory = v
-		case "backlog":
-			r.Queue = v
-		case "utilization":
-			r.Util = v
-		}
+		bootinfo.Tell(r, name, float64(values[i]))
 	}
 	return r
 }
--- a/internal/placing/core/core.go
+++ b/internal/placing/core/core.go
@@ -1,12 +1,12 @@
 package core
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"forkhead"
+	"forkhead/internal/placing/agenda"
 	"forkhead/internal/placing/attempt"
 	"forkhead/internal/placing/guard"
 	"forkhead/internal/placing/hostlink"
@@ -37,8 +37,7 @@
 	now    time.Duration
 	out    []Output
 	events []forkhead.Event // for the module, of this moment
-	timers timers
-	seq    uint64
+	timers agenda.Agenda[*timer]
 
 	ids      *ids.Table
 	listedAt time.Duration // when a list first came
@@ -118,8 +117,11 @@
 		c.take(in)
 	}
 	var late []*timer
-	for len(c.timers) > 0 && c.timers[0].at <= c.now {
-		t := heap.Pop(&c.timers).(*timer)
+	for {
+		t, due := c.timers.Due(c.now)
+		if !due {
+			break
+		}
 		if t.kind == timerDeadline {
 			// After the module's own timers of this moment: a placer that stood still lets the
 			// module end its asks before they are taken to be forgotten.
@@ -138,12 +140,7 @@
 }
 
 // Next returns when Step has something to do by itself.
-func (c *Core) Next() (time.Duration, bool) {
-	if len(c.timers) == 0 {
-		return 0, false
-	}
-	return c.timers[0].at, true
-}
+func (c *Core) Next() (time.Duration, bool) { return c.timers.Next() }
 
 // run hands the module its events until it has none.
 func (c *Core) run(always bool) {
@@ -263,7 +260,6 @@
 
 type timer struct {
 	at     time.Duration
-	seq    uint64
 	kind   timerKind
 	number uint64
 	ask    *ask
@@ -273,32 +269,7 @@
 	svc    *service
 }
 
-// timers is a heap by time, then by the order in which they were set.
-type timers []*timer
-
-func (t timers) Len() int { return len(t) }
-func (t timers) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
-}
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-
-// Push and Pop are for container/heap.
-func (t *timers) Push(x any) { *t = append(*t, x.(*timer)) }
-
-// Pop takes the last.
-func (t *timers) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*t = old[:len(old)-1]
-	return last
-}
-
-func (c *Core) at(t *timer) {
-	c.seq++
-	t.seq = c.seq
-	heap.Push(&c.timers, t)
-}
+func (c *Core) at(t *timer) { c.timers.Set(t.at, t) }
 
 func (c *Core) fire(t *timer) {
 	switch t.kind {
--- a/internal/placing/node/api.go
+++ b/internal/placing/node/api.go
@@ -27,7 +27,6 @@
 // Names are those of the settings' lists, in their order.
 type Names struct {
 	Classes, Tenants, Zones, Kinds []string
-	Load                           []string // the fields of a load report
 }
 
 // Bounds of the core. What each does when it is met is said where it is used.
--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -1,11 +1,12 @@
 package node
 
 import (
-	"container/heap"
 	"fmt"
+	"slices"
 	"time"
 
 	"forkhead"
+	"forkhead/internal/placing/agenda"
 	"forkhead/internal/placing/attempt"
 	"forkhead/internal/placing/guard"
 	"forkhead/internal/protocol/platform"
@@ -20,7 +21,7 @@
 	events []forkhead.Event // for the module, of this step
 	decide func(time.Duration, []forkhead.Event) []forkhead.Action
 
-	timers timers
+	timers agenda.Agenda[timer]
 	tendAt time.Duration
 
 	owners map[uint64]*owner
@@ -80,8 +81,8 @@
 
 // Next is when the core wants to be stepped without inputs.
 func (c *Core) Next() time.Duration {
-	if len(c.timers) > 0 {
-		return min(c.timers[0].at, c.tendAt)
+	if at, ok := c.timers.Next(); ok {
+		return min(at, c.tendAt)
 	}
 	return c.tendAt
 }
@@ -96,8 +97,11 @@
 	for _, i := range in {
 		c.take(i)
 	}
-	for len(c.timers) > 0 && c.timers[0].at <= now {
-		t := heap.Pop(&c.timers).(timer)
+	for {
+		t, due := c.timers.Due(now)
+		if !due {
+			break
+		}
 		if t.deadline {
 			c.deadline(forkhead.TaskID(t.id))
 		} else {
@@ -113,7 +117,7 @@
 		// Whether it stands is not known, and nobody would ever end it. One that was offered to the same host again is
 		// that host's to sort out.
 		if l := s.host.best(); l != nil && s.host.tries[s.ref] == nil {
-			c.do(ToHost{l.id, platform.Append(nil, platform.Release, s.ref, platform.CauseOK, nil)})
+			c.cancel(l, s.ref)
 		}
 	}
 	c.strays = c.strays[:0]
@@ -186,7 +190,7 @@
 	case forkhead.Stop:
 		c.move(a.Task)
 	case forkhead.SetTimer:
-		heap.Push(&c.timers, timer{at: max(a.At, c.now+time.Microsecond), id: a.Timer})
+		c.timers.Set(max(a.At, c.now+time.Microsecond), timer{id: a.Timer})
 	case forkhead.Probe:
 		c.probe(uint32(a.Machine))
 	case forkhead.Tell:
@@ -214,18 +218,17 @@
 
 // request is one arrival of a task.
 type request struct {
-	id      forkhead.TaskID
-	ref     string
-	owner   uint64 // the connection that it came on last
-	task    forkhead.Task
-	class   *forkhead.Class
-	fields  []platform.Field // for hosts
-	desc    []byte
-	digest  uint64
-	ask     attempt.Ask
-	tries   []*try
-	phase   phase
-	counted bool // in open
+	id     forkhead.TaskID
+	ref    string
+	owner  uint64 // the connection that it came on last
+	task   forkhead.Task
+	class  *forkhead.Class
+	fields []platform.Field // for hosts
+	desc   []byte
+	digest uint64
+	ask    attempt.Ask
+	tries  []*try
+	phase  phase
 }
 
 // try is an attempt.
@@ -284,7 +287,7 @@
 	r.tries = append(r.tries, t)
 	c.services[r.task.Service] = append(c.services[r.task.Service], t)
 	if a.Timeout > 0 && c.now+a.Timeout < r.ask.Deadline {
-		heap.Push(&c.timers, timer{at: c.now + a.Timeout, id: uint64(r.id), deadline: true})
+		c.timers.Set(c.now+a.Timeout, timer{id: uint64(r.id), deadline: true})
 	}
 	h.tries[r.ref] = t
 	c.carry(t)
@@ -318,14 +321,7 @@
 	if t.host.tries[r.ref] == t {
 		delete(t.host.tries, r.ref)
 	}
-	live := c.services[r.task.Service]
-	for i, other := range live {
-		if other == t {
-			live[i] = live[len(live)-1]
-			live = live[:len(live)-1]
-			break
-		}
-	}
+	live := slices.DeleteFunc(c.services[r.task.Service], func(other *try) bool { return other == t })
 	if c.services[r.task.Service] = live; len(live) == 0 {
 		delete(c.services, r.task.Service)
 	}
@@ -349,12 +345,12 @@
 		l.out--
 		return
 	}
-	for i, w := range l.waiting {
-		if w == t {
-			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
-			return
-		}
-	}
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *try) bool { return w == t })
+}
+
+// cancel tells a host that an offer is given up, or that a task is to end: the same message, whichever it has.
+func (c *Core) cancel(l *link, ref string) {
+	c.do(ToHost{l.id, platform.Append(nil, platform.Release, ref, platform.CauseOK, nil)})
 }
 
 // giveUp stops waiting for an attempt that is out.
@@ -364,13 +360,20 @@
 	}
 	if t.phase() == attempt.Out {
 		if t.link != nil {
-			c.do(ToHost{t.link.id, platform.Append(nil, platform.Release, t.req.ref, platform.CauseOK, nil)})
+			c.cancel(t.link, t.req.ref)
 		}
 		c.ended.add(givenUp{t.host.number, t.req.ref})
 	}
 	c.outcome(t, attempt.CalledOff, result, forkhead.NoReason, final, nil)
 }
 
+// giveUpAll stops waiting for whatever attempts of a request are out.
+func (c *Core) giveUpAll(r *request, result forkhead.Result, final bool) {
+	for _, t := range r.tries {
+		c.giveUp(t, result, final)
+	}
+}
+
 // answer carries out the module's refusal or failure.
 func (c *Core) answer(id forkhead.TaskID, refuse bool, wait time.Duration) {
 	r := c.tasks[id]
@@ -379,9 +382,7 @@
 	}
 	if veto := guard.MayAnswer(&r.ask, refuse); veto != nil {
 		c.defect("an answer to task %d is vetoed: %v", id, veto)
-		for _, t := range r.tries {
-			c.giveUp(t, forkhead.Withdrawn, true)
-		}
+		c.giveUpAll(r, forkhead.Withdrawn, true)
 		refuse = false
 	}
 	cause, fields := platform.CauseFailed, []platform.Field(nil)
@@ -396,15 +397,12 @@
 	c.tell(r, platform.Append(nil, platform.Release, r.ref, cause, nil, fields...))
 }
 
-// close takes a request out of those that are owed an answer.
+// close takes an open request out of those that are owed an answer.
 func (c *Core) close(r *request, p phase) {
 	r.phase = p
-	if r.counted {
-		r.counted = false
-		c.open--
-		if o := c.owners[r.owner]; o != nil {
-			delete(o.open, r)
-		}
+	c.open--
+	if o := c.owners[r.owner]; o != nil {
+		delete(o.open, r)
 	}
 	r.desc, r.fields = nil, nil
 	if p == over {
@@ -418,9 +416,7 @@
 	if r == nil || r.phase != open {
 		return
 	}
-	for _, t := range r.tries {
-		c.giveUp(t, forkhead.TimedOut, false)
-	}
+	c.giveUpAll(r, forkhead.TimedOut, false)
 	c.rule()
 	if r.phase == open && c.now >= r.ask.Deadline {
 		c.defect("task %d has no answer at its deadline", id)
@@ -434,9 +430,7 @@
 	c.event(forkhead.OwnerLeft{Task: r.id})
 	c.close(r, over)
 	r.ask.End(false)
-	for _, t := range r.tries {
-		c.giveUp(t, forkhead.Withdrawn, true)
-	}
+	c.giveUpAll(r, forkhead.Withdrawn, true)
 }
 
 // current is the attempt that holds a standing task.
@@ -458,7 +452,7 @@
 	r.phase = ending
 	t.endBy = c.now + hostsWord
 	if l := t.host.best(); l != nil {
-		c.do(ToHost{l.id, platform.Append(nil, platform.Release, r.ref, platform.CauseOK, nil)})
+		c.cancel(l, r.ref)
 	}
 }
 
@@ -488,7 +482,6 @@
 	}
 	r.phase = over
 	c.outcome(t, attempt.Ended, result, why, true, report)
-	c.over = append(c.over, r)
 }
 
 // sweep forgets requests that nothing more can come of.
@@ -505,36 +498,12 @@
 	c.over = c.over[:0]
 }
 
-// ---- Timers.
-
 // timer is the module's, or the deadline of a task.
 type timer struct {
-	at       time.Duration
 	id       uint64
 	deadline bool
 }
 
-type timers []timer
-
-// Len is how many are set.
-func (t timers) Len() int { return len(t) }
-
-// Less orders by time.
-func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
-
-// Swap exchanges two.
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-
-// Push is for container/heap.
-func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
-
-// Pop is for container/heap.
-func (t *timers) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 // recent remembers the last so many values.
 type recent[K comparable] struct {
 	ring []K
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -1,8 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
-	"math"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 	"forkhead/internal/placing/attempt"
 	"forkhead/internal/placing/guard"
 	"forkhead/internal/protocol/platform"
+	"forkhead/internal/reading/bootinfo"
 )
 
 // host is one host of the list, by its number.
@@ -21,6 +23,7 @@
 	address string
 	entry   forkhead.Machine
 	since   time.Duration // told that it is not in service
+	goneAt  time.Duration // told that it is gone
 	seenAs  guard.Host
 	tries   map[string]*try // live attempts, by ref
 	links   []*link
@@ -39,8 +42,7 @@
 	id      uint64
 	host    *host
 	open    bool // else it is being made
-	split   platform.Splitter
-	lineAt  time.Duration
+	lines   stream
 	heardAt time.Duration
 	usedAt  time.Duration
 	out     int    // attempts
@@ -60,7 +62,7 @@
 
 func (h *host) standing() bool {
 	for _, t := range h.tries {
-		if t.phase() == attempt.Placed {
+		if t.stands() {
 			return true
 		}
 	}
@@ -188,10 +190,7 @@
 // unlink is the end of a connection: what was out on it may have run.
 func (c *Core) unlink(l *link) {
 	c.drop(l)
-	for _, t := range c.triesOf(l.host) {
-		if t.link != l {
-			continue
-		}
+	for _, t := range l.host.triesThat(func(t *try) bool { return t.link == l }) {
 		if t.phase() == attempt.Out {
 			c.ended.add(givenUp{l.host.number, t.req.ref})
 			c.strays = append(c.strays, stray{l.host, t.req.ref})
@@ -211,27 +210,28 @@
 	c.unlink(l)
 }
 
-// triesOf lists the live attempts of a host in a fixed order.
-func (c *Core) triesOf(h *host) []*try {
-	all := make([]*try, 0, len(h.tries))
+// triesThat lists the live attempts of a host that something is true of, in a fixed order.
+func (h *host) triesThat(is func(*try) bool) []*try {
+	var all []*try
 	for _, t := range h.tries {
-		all = append(all, t)
+		if is(t) {
+			all = append(all, t)
+		}
 	}
-	slices.SortFunc(all, func(a, b *try) int { return int(a.req.id) - int(b.req.id) })
+	slices.SortFunc(all, func(a, b *try) int { return cmp.Compare(a.req.id, b.req.id) })
 	return all
 }
 
+func (t *try) stands() bool { return t.phase() == attempt.Placed }
+
 // lose ends the standing tasks of a host that cannot hold them any more.
 func (c *Core) lose(h *host, why string) {
-	n := 0
-	for _, t := range c.triesOf(h) {
-		if t.phase() == attempt.Placed {
-			n++
-			c.finish(t, platform.CauseReset, forkhead.NoReason, nil)
-		}
+	lost := h.triesThat((*try).stands)
+	for _, t := range lost {
+		c.finish(t, platform.CauseReset, forkhead.NoReason, nil)
 	}
-	if n > 0 {
-		c.logf("%s: %s; its %d tasks are lost", h.name, why, n)
+	if len(lost) > 0 {
+		c.logf("%s: %s; its %d tasks are lost", h.name, why, len(lost))
 	}
 }
 
@@ -243,8 +243,7 @@
 		return
 	}
 	l.heardAt, l.host.heardAt = c.now, c.now
-	err := l.split.Feed(in.Data, func(line []byte) error {
-		l.lineAt = 0
+	err := l.lines.feed(c.now, in.Data, func(line []byte) error {
 		m, err := platform.Decode(line)
 		if err != nil {
 			return err
@@ -255,15 +254,9 @@
 		c.hostLine(l, &m)
 		return nil
 	})
-	switch {
-	case c.links[in.Link] != l:
-	case err != nil:
+	if err != nil && c.links[in.Link] == l {
 		c.logf("%s: a connection is closed: %v", l.host.name, err)
 		c.cut(l)
-	case !l.split.Begun():
-		l.lineAt = 0
-	case l.lineAt == 0:
-		l.lineAt = c.now
 	}
 }
 
@@ -276,7 +269,7 @@
 		case t == nil:
 			if c.ended.holds(givenUp{h.number, m.Ref}) {
 				// It was given up and stands all the same: nobody would ever end it.
-				c.do(ToHost{l.id, platform.Append(nil, platform.Release, m.Ref, platform.CauseOK, nil)})
+				c.cancel(l, m.Ref)
 			}
 		case t.phase() == attempt.Out:
 			c.bound(t, m)
@@ -312,8 +305,11 @@
 	if c.set.BoundWhenRunning {
 		return // an answer then comes when the task runs, in any order
 	}
-	for _, t := range c.triesOf(answered.host) {
-		if l := t.link; l != nil && l != answered.link && t.phase() == attempt.Out && t.at+overtaken < answered.at && l.heardAt <= t.at {
+	dead := answered.host.triesThat(func(t *try) bool {
+		return t.phase() == attempt.Out && t.link != answered.link && t.at+overtaken < answered.at && t.link.heardAt <= t.at
+	})
+	for _, t := range dead {
+		if l := t.link; l != nil { // nil: cut with an earlier one
 			c.logf("%s: a connection is closed: later offers are answered and its own is not", l.host.name)
 			c.cut(l)
 		}
@@ -392,24 +388,20 @@
 	if text == "" {
 		return nil
 	}
-	nan := math.NaN()
-	r := &forkhead.Report{Cores: nan, Memory: nan, Queue: nan, Util: nan}
+	r := bootinfo.NoReport()
 	for part := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(part, ":")
 		v, err := strconv.ParseFloat(value, 64)
 		if err != nil {
 			continue
 		}
-		switch name {
-		case "x0":
-			r.Cores = v
-		case "x1":
-			r.Memory = v
-		case "queue", "backlog":
-			r.Queue = v
-		case "util", "utilization":
-			r.Util = v
+		switch name { // the protocol's page has other words than the settings for two
+		case "queue":
+			name = "backlog"
+		case "util":
+			name = "utilization"
 		}
+		bootinfo.Tell(r, name, v)
 	}
 	return r
 }
@@ -493,16 +485,8 @@
 	c.event(forkhead.Update{Mode: forkhead.ListSaved, Machines: all})
 }
 
-// Seq is the number of the last event of the change log that was taken in.
-func (c *Core) Seq() uint64 { return c.seq }
-
 func (c *Core) sorted() []*host {
-	var all []*host
-	for _, h := range c.hosts {
-		all = append(all, h)
-	}
-	slices.SortFunc(all, func(a, b *host) int { return int(a.number) - int(b.number) })
-	return all
+	return slices.SortedFunc(maps.Values(c.hosts), func(a, b *host) int { return cmp.Compare(a.number, b.number) })
 }
 
 // changed takes an event of the change log, once.
@@ -572,14 +556,12 @@
 		h.since = c.now
 	}
 	if e.State == forkhead.Gone && h.entry.State != forkhead.Gone {
-		h.since = c.now
+		h.goneAt = c.now
 	}
 	if e.Started > h.entry.Started && h.address != "" {
 		// It is up anew: what stood there before is over.
-		for _, t := range c.triesOf(h) {
-			if t.phase() == attempt.Placed && t.at < e.Started {
-				c.finish(t, platform.CauseReset, forkhead.NoReason, nil)
-			}
+		for _, t := range h.triesThat(func(t *try) bool { return t.stands() && t.at < e.Started }) {
+			c.finish(t, platform.CauseReset, forkhead.NoReason, nil)
 		}
 		h.rest, h.redialAt, h.refusals = 0, 0, 0
 	}
@@ -620,7 +602,7 @@
 func (c *Core) tendHost(h *host) {
 	for _, l := range slices.Clone(h.links) {
 		switch {
-		case l.lineAt > 0 && c.now > l.lineAt+probeWithin:
+		case l.lines.since > 0 && c.now > l.lines.since+probeWithin:
 			c.logf("%s: a connection is closed: a message did not end", h.name)
 			c.cut(l)
 		case l.open && l.out == 0 && c.cfg.Idle > 0 && c.now > max(l.usedAt, l.heardAt)+c.cfg.Idle*3/5:
@@ -642,15 +624,13 @@
 			c.testOn(h)
 		}
 	}
-	for _, t := range c.triesOf(h) {
-		if t.req.phase == ending && c.now > t.endBy {
-			c.finish(t, platform.CauseMoved, forkhead.NoReason, nil)
-		}
+	for _, t := range h.triesThat(func(t *try) bool { return t.req.phase == ending && c.now > t.endBy }) {
+		c.finish(t, platform.CauseMoved, forkhead.NoReason, nil)
 	}
 	if h.entry.State == forkhead.Gone {
-		if c.now > h.since+goneAfter {
+		if c.now > h.goneAt+goneAfter {
 			c.lose(h, "the change log says that it is gone")
-			if c.now > h.since+forgetHost && len(h.tries) == 0 && len(h.links) == 0 {
+			if c.now > h.goneAt+forgetHost && len(h.tries) == 0 && len(h.links) == 0 {
 				delete(c.hosts, h.number)
 			}
 		}
--- a/internal/placing/node/node_test.go
+++ b/internal/placing/node/node_test.go
@@ -549,7 +549,7 @@
 	}
 	w.pass(time.Minute)
 	c := w.c
-	if n := len(c.tasks) + len(c.refs) + len(c.services) + len(c.owners) + len(c.owed) + c.open + len(c.timers); n != 0 {
+	if n := len(c.tasks) + len(c.refs) + len(c.services) + len(c.owners) + len(c.owed) + c.open + c.timers.Len(); n != 0 {
 		t.Errorf("%d tasks, refs, services, owners, lines and timers are kept", n)
 	}
 	if len(c.hosts) > 6 || len(c.links) > linksEach || len(c.ended.ring) > mostGivenUp || len(c.ended.has) > mostGivenUp {
--- a/internal/placing/node/owners.go
+++ b/internal/placing/node/owners.go
@@ -3,14 +3,13 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"container/heap"
-
 	"forkhead"
 	"forkhead/internal/placing/attempt"
 	"forkhead/internal/protocol/platform"
@@ -19,17 +18,36 @@
 // owner is one connection of an owner.
 type owner struct {
 	id     uint64
-	split  platform.Splitter
+	lines  stream
 	at     time.Duration // accepted
 	usedAt time.Duration
-	lineAt time.Duration // the line in hand began; 0: none has
-	spoke  bool          // it has sent a message that can be read
-	bad    int           // malformed ones
-	stands int           // tasks that came on it and stand
-	placed int           // tasks that came on it and were placed or handed over, in all
+	spoke  bool // it has sent a message that can be read
+	bad    int  // malformed ones
+	stands int  // tasks that came on it and stand
+	placed int  // tasks that came on it and were placed or handed over, in all
 	open   map[*request]struct{}
 }
 
+// stream cuts bytes into lines and knows since when a line has begun and not ended.
+type stream struct {
+	split platform.Splitter
+	since time.Duration // 0: none has
+}
+
+func (s *stream) feed(now time.Duration, p []byte, line func([]byte) error) error {
+	err := s.split.Feed(p, func(whole []byte) error {
+		s.since = 0
+		return line(whole)
+	})
+	switch {
+	case !s.split.Begun():
+		s.since = 0
+	case s.since == 0:
+		s.since = now
+	}
+	return err
+}
+
 // use ranks connections by what they have been good for: those of usual owners carry one task after the other, and
 // what becomes of these is told on them.
 func (o *owner) use() int {
@@ -77,9 +95,7 @@
 func (c *Core) hangUp(o *owner) {
 	for _, r := range c.openOf(o) {
 		c.event(forkhead.OwnerLeft{Task: r.id})
-		for _, t := range r.tries {
-			c.giveUp(t, forkhead.Withdrawn, true)
-		}
+		c.giveUpAll(r, forkhead.Withdrawn, true)
 		c.answer(r.id, false, 0)
 	}
 	delete(c.owners, o.id)
@@ -88,12 +104,7 @@
 
 // openOf lists the open requests of a connection in the order in which they came.
 func (c *Core) openOf(o *owner) []*request {
-	var all []*request
-	for r := range o.open {
-		all = append(all, r)
-	}
-	slices.SortFunc(all, func(a, b *request) int { return int(a.id) - int(b.id) })
-	return all
+	return slices.SortedFunc(maps.Keys(o.open), func(a, b *request) int { return cmp.Compare(a.id, b.id) })
 }
 
 // left is the end of a connection that its owner closed: nobody waits for what is open on it.
@@ -130,24 +141,14 @@
 	if o == nil {
 		return
 	}
-	err := o.split.Feed(in.Data, func(line []byte) error {
-		o.lineAt = 0
+	err := o.lines.feed(c.now, in.Data, func(line []byte) error {
 		if c.owners[o.id] == o && len(line) > 0 {
 			c.ownerLine(o, line)
 		}
 		return nil
 	})
-	if c.owners[o.id] != o {
-		return
-	}
-	if err != nil {
+	if err != nil && c.owners[o.id] == o {
 		c.hangUp(o)
-		return
-	}
-	if !o.split.Begun() {
-		o.lineAt = 0
-	} else if o.lineAt == 0 {
-		o.lineAt = c.now
 	}
 }
 
@@ -274,10 +275,9 @@
 	if r.class.Effect == forkhead.Keyed {
 		r.fields = append(r.fields, platform.Field{Name: "idem", Raw: m.Fields["idem"]})
 	}
-	r.counted = true
 	c.open++
 	o.open[r] = struct{}{}
-	heap.Push(&c.timers, timer{at: r.ask.Deadline, id: uint64(r.id), deadline: true})
+	c.timers.Set(r.ask.Deadline, timer{id: uint64(r.id), deadline: true})
 	c.event(forkhead.Arrival{Task: r.task})
 }
 
@@ -411,7 +411,7 @@
 func (c *Core) tendOwners() {
 	var late []*owner
 	for _, o := range c.owners {
-		if o.lineAt > 0 && c.now > o.lineAt+wholeLine || !o.spoke && len(o.open) == 0 && c.now > o.at+sayFirst {
+		if o.lines.since > 0 && c.now > o.lines.since+wholeLine || !o.spoke && len(o.open) == 0 && c.now > o.at+sayFirst {
 			late = append(late, o)
 		}
 	}
--- a/internal/proving/lives/sim.go
+++ b/internal/proving/lives/sim.go
@@ -4,7 +4,6 @@
 package lives
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"time"
 
 	"forkhead"
+	"forkhead/internal/placing/agenda"
 	"forkhead/internal/placing/core"
 	"forkhead/internal/placing/state"
 	"forkhead/internal/protocol/hostproto"
@@ -33,8 +33,7 @@
 	Hosts    map[string]*Host
 	Names    []string
 	Now      time.Duration
-	queue    queue
-	seq      int
+	queue    agenda.Agenda[func()]
 	rng      *rand.Rand
 	Delay    time.Duration // of a frame, each way
 
@@ -145,27 +144,6 @@
 	gen    int // of connections: those of an earlier life are dead
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // Settings returns small settings with all kinds of classes, and more as text.
 func Settings(t TB, extra string) *settings.Settings {
 	t.Helper()
@@ -254,8 +232,7 @@
 }
 
 func (s *Sim) After(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, event{s.Now + d, s.seq, do})
+	s.queue.Set(s.Now+d, do)
 }
 
 func (s *Sim) conn(h *Host, conn uint32) standin.ConnID {
@@ -494,8 +471,8 @@
 	end := s.Now + d
 	for {
 		next, what := end, ""
-		if len(s.queue) > 0 && s.queue[0].at <= next {
-			next, what = s.queue[0].at, "event"
+		if at, ok := s.queue.Next(); ok && at <= next {
+			next, what = at, "event"
 		}
 		if at, ok := s.Core.Next(); ok && at < next {
 			next, what = at, "core"
@@ -511,7 +488,9 @@
 			s.Now = end
 			return
 		case "event":
-			heap.Pop(&s.queue).(event).do()
+			if do, due := s.queue.Due(s.Now); due {
+				do()
+			}
 		case "core":
 			s.Step()
 		default:
--- a/internal/running/noded/noded.go
+++ b/internal/running/noded/noded.go
@@ -110,7 +110,7 @@
 	c := node.Config{
 		Settings: set, Idle: bootinfo.Duration(info.Caps.ConnIdle), Seed: cfg.SeedNumber(), Known: cfg.Known.Results,
 		Owners: room * 2 / 3, Links: room - room*2/3 - acceptReserve,
-		Names: node.Names{Zones: info.Zones, Kinds: info.Kinds, Load: info.LoadInfo.Fields},
+		Names: node.Names{Zones: info.Zones, Kinds: info.Kinds},
 	}
 	for i := range info.Classes {
 		c.Names.Classes = append(c.Names.Classes, info.Classes[i].Name)
--- a/internal/running/noded/trace.go
+++ b/internal/running/noded/trace.go
@@ -15,20 +15,20 @@
 func Trace(to io.Writer) func(now time.Duration, in []node.Input, out []node.Output) {
 	w := bufio.NewWriter(to)
 	line := func(now time.Duration, way string, v any) {
-		text, err := json.Marshal(v)
-		if err != nil {
-			return
-		}
 		name := fmt.Sprintf("%T", v)
-		switch v := v.(type) {
+		switch x := v.(type) { // lines as text, not as base64
 		case node.OwnerData:
-			text, _ = json.Marshal(map[string]any{"Owner": v.Owner, "Data": string(v.Data)})
+			v = map[string]any{"Owner": x.Owner, "Data": string(x.Data)}
 		case node.HostData:
-			text, _ = json.Marshal(map[string]any{"Link": v.Link, "Data": string(v.Data)})
+			v = map[string]any{"Link": x.Link, "Data": string(x.Data)}
 		case node.ToOwner:
-			text, _ = json.Marshal(map[string]any{"Owner": v.Owner, "Line": string(v.Line)})
+			v = map[string]any{"Owner": x.Owner, "Line": string(x.Line)}
 		case node.ToHost:
-			text, _ = json.Marshal(map[string]any{"Link": v.Link, "Line": string(v.Line)})
+			v = map[string]any{"Link": x.Link, "Line": string(x.Line)}
+		}
+		text, err := json.Marshal(v)
+		if err != nil {
+			return
 		}
 		fmt.Fprintf(w, `{"at":%d,"way":%q,"what":%q,"value":%s}`+"\n", now.Microseconds(), way, name, text)
 	}
--- a/placer.go
+++ b/placer.go
@@ -193,6 +193,9 @@
 // It acts where few placers share what they know of room. It may hurt where many tasks come at once: one that
 // finds no room or only long lines elsewhere wakes them.
 func (p *Placer) restSome(pl *pool) {
+	if p.set.Prices.Machine == 0 || !p.knowsRooms() {
+		return
+	}
 	var ready []*machine
 	cores, memory := 0.0, 0.0
 	for _, m := range pl.order {
@@ -203,7 +206,7 @@
 			ready = append(ready, m)
 		}
 	}
-	if p.set.Prices.Machine == 0 || !p.knowsRooms() || len(ready) == 0 {
+	if len(ready) == 0 {
 		return
 	}
 	slices.SortStableFunc(ready, func(a, b *machine) int {
