netio: a connection closed while it is accepted ends once; listeners drain; stalls catch up

Found by reading where two events cross, forced by tests that fail without the lines named. - noded's accept hands a connection to the loop before nbio has it. Where the core closes it at once (all seats hold open requests), Conn.end called the Closed of a handler that was nil yet: the process panics; and a connection closed before AddConn was entered in nbio's table under a descriptor that may be another's by then (adopt). Now poll() orders the two: TestClosedWhileAccepted, which without it ends in 'invalid memory address'. - A listener that closes resets what waits in its accept queue: Listener.Drain, TestDrainTakesTheAcceptQueue. - What is queued when a connection is closed is lost: CloseWritten. Left and Unsent ask the system what was not read yet. - loop: after a stall of the process a timer was stepped before the bytes that had come meanwhile: catch-up rounds, TestProducersCatchUpBeforeALateTimer (0 of 5 jobs without them).

--- a/internal/running/loop/loop.go
+++ b/internal/running/loop/loop.go
@@ -9,6 +9,15 @@
 	"forkhead/internal/running/clock"
 )
 
+// A loop that is called on so late for a timer stood still, and so did those that bring it jobs: it lets them bring what
+// has come meanwhile, in rounds, before the timers that are due. It guards against a stall of our own that is taken for
+// the silence of others.
+const (
+	lateAfter   = 50 * time.Millisecond
+	catchUp     = time.Millisecond
+	catchUpMost = 10
+)
+
 // Step is called on the loop's goroutine after a batch of jobs, or when the time that it last
 // returned has come. It returns when it wants to be called next; ok is false for not at all.
 type Step func(now time.Duration) (next time.Duration, ok bool)
@@ -100,27 +109,41 @@
 	defer close(l.done)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	next, ok := time.Duration(0), false
 	for {
-		l.mu.Lock()
-		jobs, ended := l.jobs, l.ended
-		l.jobs = nil
-		l.space.Broadcast()
-		l.mu.Unlock()
+		ran, ended := l.runJobs()
+		late := ok && l.clock.Now() > next+lateAfter
+		for round := 0; late && !ended && (ran > 0 || round == 0) && round < catchUpMost; round++ {
+			time.Sleep(catchUp)
+			ran, ended = l.runJobs()
+		}
 		if ended {
 			return
 		}
-		for _, job := range jobs {
-			job()
-		}
-		next, ok := l.step(l.clock.Now())
-		if ok {
-			timer.Reset(l.clock.Until(next))
-			select {
-			case <-l.wake:
-			case <-timer.C:
-			}
-		} else {
+		if next, ok = l.step(l.clock.Now()); !ok {
 			<-l.wake
+			continue
 		}
+		timer.Reset(l.clock.Until(next))
+		select {
+		case <-l.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// runJobs runs what is queued and returns how many jobs that were.
+func (l *Loop) runJobs() (ran int, ended bool) {
+	l.mu.Lock()
+	jobs, ended := l.jobs, l.ended
+	l.jobs = nil
+	l.space.Broadcast()
+	l.mu.Unlock()
+	if ended {
+		return 0, true
+	}
+	for _, job := range jobs {
+		job()
 	}
+	return len(jobs), false
 }
--- a/internal/running/loop/loop_test.go
+++ b/internal/running/loop/loop_test.go
@@ -73,3 +73,35 @@
 		t.Fatal("a job is taken after the end")
 	}
 }
+
+// A loop that stood still past a timer takes what was held back meanwhile before the timer is due.
+func TestProducersCatchUpBeforeALateTimer(t *testing.T) {
+	got := 0
+	stepped := make(chan int, 1)
+	c := clock.New()
+	due := c.Now() + 20*time.Millisecond
+	l := New(c, 1, func(now time.Duration) (time.Duration, bool) {
+		if now < due {
+			return due, true
+		}
+		select {
+		case stepped <- got:
+		default:
+		}
+		return now + time.Hour, true
+	})
+	l.Start()
+	defer l.Stop()
+	l.Call(func() {}) // a step follows it, before what is queued from here on
+	stalled, on := make(chan struct{}), make(chan struct{})
+	l.Do(func() { close(stalled); <-on })
+	<-stalled
+	for range 5 { // one is queued, the others wait for space one after the other
+		go l.Wait(func() { got++ })
+	}
+	time.Sleep(200 * time.Millisecond)
+	close(on)
+	if n := <-stepped; n != 5 {
+		t.Errorf("%d of 5 jobs came before the late timer", n)
+	}
+}
--- a/internal/running/netio/netio.go
+++ b/internal/running/netio/netio.go
@@ -13,6 +13,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 )
 
 func init() {
@@ -25,6 +26,9 @@
 	}
 }
 
+// ReadSize is the most bytes that Data brings at once; where it brings fewer, nothing more waits to be read.
+const ReadSize = 32 << 10
+
 // Handler takes what happens on a connection. Data comes from one goroutine at a time and must
 // not keep p. Closed comes once; Data may still be running then.
 type Handler interface {
@@ -47,7 +51,7 @@
 type Engine struct {
 	eng  *nbio.Engine
 	mu   sync.Mutex
-	lns  map[net.Listener]bool
+	lns  map[*Listener]bool
 	wait sync.WaitGroup
 	done bool
 	// fence orders the making of a connection before its first event. The poller hands them over
@@ -62,13 +66,47 @@
 	most    int64
 	pending atomic.Int64
 	closed  atomic.Bool
+	closing atomic.Bool // as soon as what is queued has gone out
 	once    sync.Once
+
+	mu     sync.Mutex
+	polled bool  // the poller has it
+	reason error // why it was closed before that
+}
+
+// Listener is what Listen returns.
+type Listener struct {
+	*net.TCPListener
+	quiet  atomic.Int64 // a Drain waits for so long without a connection; 0: none is asked for
+	until  atomic.Int64 // and ends by this Unix time in nanoseconds
+	closed chan struct{}
+}
+
+// Drain closes the listener once it has taken all connections whose other end takes them for made: when none has come
+// for quiet, or after most. A listener that is closed at once resets what waits in its accept queue.
+func (l *Listener) Drain(quiet, most time.Duration) {
+	l.until.Store(time.Now().Add(most).UnixNano())
+	l.quiet.Store(int64(quiet))
+	_ = l.SetDeadline(time.Now().Add(quiet))
+}
+
+// Closed is closed when the listener is and everything that it accepted has been handed over.
+func (l *Listener) Closed() <-chan struct{} { return l.closed }
+
+// drained says, when a deadline has passed since came connections had been taken, whether the listener is to be closed.
+func (l *Listener) drained(came bool) bool {
+	now := time.Now()
+	if came && now.UnixNano() < l.until.Load() {
+		_ = l.SetDeadline(now.Add(time.Duration(l.quiet.Load())))
+		return false
+	}
+	return true
 }
 
 // New starts an engine with so many polling goroutines.
 func New(name string, pollers int) (*Engine, error) {
-	e := &Engine{lns: map[net.Listener]bool{}}
-	e.eng = nbio.NewEngine(nbio.Config{Name: name, NPoller: pollers, ReadBufferSize: 32 << 10})
+	e := &Engine{lns: map[*Listener]bool{}}
+	e.eng = nbio.NewEngine(nbio.Config{Name: name, NPoller: pollers, ReadBufferSize: ReadSize})
 	e.eng.OnData(func(nb *nbio.Conn, p []byte) {
 		e.fence.Load()
 		if c, ok := nb.Session().(*Conn); ok && !c.closed.Load() {
@@ -84,6 +122,9 @@
 	e.eng.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
 		e.fence.Load()
 		if c, ok := nb.Session().(*Conn); ok && c.pending.Add(int64(-n)) == 0 {
+			if c.closing.Load() {
+				go c.Close() // not within its own write
+			}
 			if d, ok := c.handler.(Drainer); ok {
 				d.Drained(c)
 			}
@@ -188,12 +229,14 @@
 }
 
 // Listen accepts connections at an address until the listener or the engine is closed. accept
-// returns the handler of a new connection, or nil to close it; most bounds its unwritten bytes.
-func (e *Engine) Listen(address string, most int, accept func(c *Conn) Handler) (net.Listener, error) {
-	ln, err := net.Listen("tcp", address)
+// returns the handler of a new connection, or nil to close it; it may take its time, connections
+// then wait in the accept queue. most bounds the unwritten bytes of a connection.
+func (e *Engine) Listen(address string, most int, accept func(c *Conn) Handler) (*Listener, error) {
+	raw, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	ln := &Listener{TCPListener: raw.(*net.TCPListener), closed: make(chan struct{})}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.done {
@@ -204,21 +247,29 @@
 	e.wait.Add(1)
 	go func() {
 		defer e.wait.Done()
+		defer close(ln.closed)
 		defer func() {
+			_ = ln.Close()
 			e.mu.Lock()
 			delete(e.lns, ln)
 			e.mu.Unlock()
 		}()
-		for {
+		for came := false; ; {
 			raw, err := ln.Accept()
-			if errors.Is(err, net.ErrClosed) {
+			switch {
+			case err == nil:
+				came = true
+				e.adopt(raw, most, accept)
+			case errors.Is(err, net.ErrClosed):
 				return
-			}
-			if err != nil {
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				if ln.drained(came) {
+					return
+				}
+				came = false
+			default:
 				time.Sleep(10 * time.Millisecond) // out of descriptors: connections wait in the backlog
-				continue
 			}
-			e.adopt(raw, most, accept)
 		}
 	}()
 	return ln, nil
@@ -231,22 +282,39 @@
 		return
 	}
 	c := &Conn{nb: nb, most: int64(most)}
-	if c.handler = accept(c); c.handler == nil {
+	handler := accept(c)
+	if handler == nil {
 		_ = nb.Close()
 		return
 	}
-	nb.SetSession(c)
-	e.fence.Add(1)
-	if _, err := e.eng.AddConn(nb); err != nil {
+	if err := e.poll(c, handler); err != nil {
 		c.end(err)
-		_ = nb.Close()
 		return
 	}
-	if o, ok := c.handler.(Opener); ok {
+	if o, ok := handler.(Opener); ok {
 		o.Opened(c)
 	}
 }
 
+// poll hands a connection to its poller. It guards against one that was closed before: nbio would enter it in its table
+// under a descriptor that may be another connection's by then, which no event would reach any more.
+func (e *Engine) poll(c *Conn, handler Handler) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handler, c.polled = handler, true
+	if c.closed.Load() {
+		_ = c.nb.Close()
+		return c.reason
+	}
+	c.nb.SetSession(c)
+	e.fence.Add(1)
+	_, err := e.eng.AddConn(c.nb)
+	if err != nil {
+		_ = c.nb.Close()
+	}
+	return err
+}
+
 // Dial makes a connection; opened is called with it, or with the error, on another goroutine.
 func (e *Engine) Dial(address string, timeout time.Duration, most int, handler Handler, opened func(*Conn, error)) {
 	e.mu.Lock()
@@ -270,11 +338,8 @@
 			opened(nil, err)
 			return
 		}
-		c := &Conn{nb: nb, handler: handler, most: int64(most)}
-		nb.SetSession(c)
-		e.fence.Add(1)
-		if _, err := e.eng.AddConn(nb); err != nil {
-			_ = nb.Close()
+		c := &Conn{nb: nb, most: int64(most)}
+		if err := e.poll(c, handler); err != nil {
 			opened(nil, err)
 			return
 		}
@@ -306,6 +371,18 @@
 // Gone says whether the connection is closed.
 func (c *Conn) Gone() bool { return c.closed.Load() }
 
+// Unsent says whether bytes that were written wait in this process or its machine, as the other end does not read.
+func (c *Conn) Unsent() bool {
+	if c.closed.Load() {
+		return false
+	}
+	if c.pending.Load() > 0 {
+		return true
+	}
+	n, err := unix.IoctlGetInt(c.nb.Hash(), unix.SIOCOUTQNSD)
+	return err == nil && n > 0
+}
+
 // Pending is how many bytes wait to be written.
 func (c *Conn) Pending() int { return int(c.pending.Load()) }
 
@@ -314,10 +391,40 @@
 
 // CloseWith closes the connection and gives Closed the reason.
 func (c *Conn) CloseWith(err error) {
+	c.mu.Lock()
+	if !c.polled { // by accept, or beside it: poll closes it
+		if !c.closed.Swap(true) {
+			c.reason = err
+		}
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
 	_ = c.nb.CloseWithError(err)
 	c.end(err)
 }
 
+// CloseWritten closes the connection once what is queued has gone out, or after most: what is queued when a connection is
+// closed is lost. Data may come until then.
+func (c *Conn) CloseWritten(most time.Duration) {
+	c.closing.Store(true)
+	if c.pending.Load() == 0 {
+		c.Close()
+		return
+	}
+	time.AfterFunc(most, c.Close)
+}
+
+// Left says whether the other end has closed its side or reset the connection, though that was not read yet.
+func (c *Conn) Left() bool {
+	if c.closed.Load() {
+		return true
+	}
+	fds := []unix.PollFd{{Fd: int32(c.nb.Hash()), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Reset closes the connection so that the other end sees a reset, and what is queued is lost.
 func (c *Conn) Reset() {
 	_ = c.nb.SetLinger(1, 0)
--- a/internal/running/netio/netio_test.go
+++ b/internal/running/netio/netio_test.go
@@ -149,3 +149,140 @@
 
 func (resetter) Data(c *Conn, _ []byte) { c.Reset() }
 func (resetter) Closed(*Conn, error)    {}
+
+// A connection that is closed while accept still runs ends once, and those that come after it under its descriptor are
+// served.
+func TestClosedWhileAccepted(t *testing.T) {
+	e, err := New("test", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Stop()
+	first := &echo{closed: make(chan error, 2)}
+	n := 0
+	ln, err := e.Listen("127.0.0.1:0", 1<<20, func(c *Conn) Handler {
+		if n++; n == 1 {
+			done := make(chan struct{})
+			go func() { c.CloseWith(ErrFull); close(done) }()
+			<-done
+			return first
+		}
+		return &echo{closed: make(chan error, 1), back: true}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := <-first.closed; !errors.Is(err, ErrFull) {
+		t.Errorf("closed with %v", err)
+	}
+	for range 3 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		_, _ = c.Write([]byte("x"))
+		if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+			t.Fatalf("a later connection is not served: %v", err)
+		}
+	}
+}
+
+// A listener that is drained takes what waits in its accept queue, also where accept takes its time, and then closes.
+func TestDrainTakesTheAcceptQueue(t *testing.T) {
+	gate := make(chan struct{})
+	e, err := New("test", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Stop()
+	ln, err := e.Listen("127.0.0.1:0", 1<<20, func(c *Conn) Handler {
+		<-gate
+		return &echo{closed: make(chan error, 1), back: true}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []net.Conn
+	for range 30 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = c.Write([]byte("x"))
+		all = append(all, c)
+	}
+	ln.Drain(10*time.Millisecond, time.Minute)
+	time.Sleep(30 * time.Millisecond) // accept is held for longer than the queue would have to be quiet
+	close(gate)
+	for i, c := range all {
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+			t.Fatalf("connection %d of the accept queue: %v", i, err)
+		}
+	}
+	<-ln.Closed()
+	if c, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+		c.Close()
+		t.Error("it still listens")
+	}
+}
+
+// CloseWritten loses nothing that was written; Left sees a half-closed, a closed and a reset connection that was not read.
+func TestCloseWrittenAndLeft(t *testing.T) {
+	conns := make(chan *Conn, 4)
+	_, ln := start(t, 64<<20, opener(conns))
+	dial := func() (*net.TCPConn, *Conn) {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c.(*net.TCPConn), <-conns
+	}
+	slow, c := dial()
+	want := 32 << 20
+	if err := c.Write(make([]byte, want)); err != nil {
+		t.Fatal(err)
+	}
+	if c.Pending() == 0 {
+		t.Fatal("all of it is out already; this tests nothing")
+	}
+	if !c.Unsent() {
+		t.Error("nothing is unsent with a reader that does not read")
+	}
+	c.CloseWritten(time.Minute)
+	if n, err := io.Copy(io.Discard, slow); err != nil || int(n) != want {
+		t.Errorf("%d bytes of %d came, then %v", n, want, err)
+	}
+	for name, leave := range map[string]func(*net.TCPConn){
+		"half-closed": func(c *net.TCPConn) { _ = c.CloseWrite() },
+		"closed":      func(c *net.TCPConn) { _ = c.Close() },
+		"reset":       func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() },
+	} {
+		mine, c := dial()
+		if c.Left() {
+			t.Errorf("%s: it has left before it did", name)
+		}
+		leave(mine)
+		for end := time.Now().Add(20 * time.Second); !c.Left(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: not seen", name)
+			}
+		}
+	}
+}
+
+// opener hands out connections and reads nothing of them.
+type opener chan *Conn
+
+func (o opener) Opened(c *Conn)      { o <- c }
+func (o opener) Data(*Conn, []byte)  {}
+func (o opener) Closed(*Conn, error) {}
