--- a/internal/placing/node/api.go
+++ b/internal/placing/node/api.go
@@ -85,8 +85,11 @@
 	}
 	// LinkGone is the end of a host's connection that the core has not closed.
 	LinkGone struct{ Link uint64 }
-	// Changed is an event of the change log.
-	Changed struct{ Change platform.Change }
+	// Changed is an event of the change log; Anew says that its numbers begin anew with this one, a whole list.
+	Changed struct {
+		Change platform.Change
+		Anew   bool
+	}
 	// Datagram is a message of another placer.
 	Datagram struct {
 		From int
@@ -124,10 +127,11 @@
 		Link    uint64
 		Address string
 	}
-	// ToHost writes a line to a host.
+	// ToHost writes a line to a host. One that gives up an attempt resets the connection where it cannot leave at once.
 	ToHost struct {
-		Link uint64
-		Line []byte
+		Link    uint64
+		Line    []byte
+		GivesUp bool
 	}
 	// CloseLink closes a host's connection, or stops making it.
 	CloseLink struct{ Link uint64 }
--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -146,7 +146,7 @@
 			c.unlink(l)
 		}
 	case Changed:
-		c.changed(i.Change)
+		c.changed(i.Change, i.Anew)
 	case Datagram:
 		c.event(forkhead.Told{From: i.From, Data: i.Data})
 	case Stopping:
@@ -306,7 +306,7 @@
 	t.link.out++
 	t.link.usedAt = c.now
 	r.ask.On(t.number, attempt.Written)
-	c.do(ToHost{t.link.id, platform.Append(nil, platform.New, r.ref, platform.NoCause, r.desc,
+	c.do(ToHost{Link: t.link.id, Line: platform.Append(nil, platform.New, r.ref, platform.NoCause, r.desc,
 		append(r.fields[:len(r.fields):len(r.fields)], platform.Quoted("left", fmt.Sprint(left)))...)})
 }
 
@@ -349,8 +349,10 @@
 }
 
 // cancel tells a host that an offer is given up, or that a task is to end: the same message, whichever it has.
-func (c *Core) cancel(l *link, ref string) {
-	c.do(ToHost{l.id, platform.Append(nil, platform.Release, ref, platform.CauseOK, nil)})
+func (c *Core) cancel(l *link, ref string) { c.do(ToHost{Link: l.id, Line: giveUpLine(ref)}) }
+
+func giveUpLine(ref string) []byte {
+	return platform.Append(nil, platform.Release, ref, platform.CauseOK, nil)
 }
 
 // giveUp stops waiting for an attempt that is out.
@@ -360,7 +362,7 @@
 	}
 	if t.phase() == attempt.Out {
 		if t.link != nil {
-			c.cancel(t.link, t.req.ref)
+			c.do(ToHost{Link: t.link.id, Line: giveUpLine(t.req.ref), GivesUp: true})
 		}
 		c.ended.add(givenUp{t.host.number, t.req.ref})
 	}
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -275,7 +275,7 @@
 			c.bound(t, m)
 		}
 	case platform.Release:
-		c.do(ToHost{l.id, platform.Append(nil, platform.Heard, m.Ref, platform.NoCause, nil)})
+		c.do(ToHost{Link: l.id, Line: platform.Append(nil, platform.Heard, m.Ref, platform.NoCause, nil)})
 		if t != nil {
 			c.hostRelease(t, m)
 		}
@@ -450,7 +450,7 @@
 	ref := c.testRef()
 	p.refs, p.links = append(p.refs, ref), append(p.links, l)
 	l.usedAt = c.now
-	c.do(ToHost{l.id, platform.Append(nil, platform.Test, ref, 0, nil)})
+	c.do(ToHost{Link: l.id, Line: platform.Append(nil, platform.Test, ref, 0, nil)})
 }
 
 func (c *Core) testRef() string {
@@ -490,8 +490,8 @@
 }
 
 // changed takes an event of the change log, once.
-func (c *Core) changed(ch platform.Change) {
-	if ch.Seq <= c.seq {
+func (c *Core) changed(ch platform.Change, anew bool) {
+	if ch.Seq <= c.seq && !anew {
 		return
 	}
 	c.seq = ch.Seq
@@ -593,7 +593,8 @@
 			c.deaf = true
 			c.do(Deafen{})
 		}
-		if c.deaf && c.open == 0 && c.now >= c.stopAt+stopAtLeast {
+		if c.deaf && c.open == 0 && c.now >= c.stopAt+stopAtLeast &&
+			(!c.halfSaid() || c.now >= c.stopAt+stopAtLeast+wholeLine) {
 			c.do(Ended{})
 		}
 	}
@@ -609,7 +610,7 @@
 			if h.best() == l && len(h.links) == 1 && h.standing() {
 				// A host that drains takes no new connection, and says what becomes of its tasks on this one.
 				l.usedAt = c.now
-				c.do(ToHost{l.id, platform.Append(nil, platform.Test, c.testRef(), 0, nil)})
+				c.do(ToHost{Link: l.id, Line: platform.Append(nil, platform.Test, c.testRef(), 0, nil)})
 			} else {
 				c.cut(l)
 			}
--- a/internal/placing/node/node_test.go
+++ b/internal/placing/node/node_test.go
@@ -87,13 +87,13 @@
 			}
 		}, forkhead.Reset, true, 0},
 		"its host is gone by the list": {stands, func(w *world, link uint64) {
-			w.step(Changed{platform.Change{Seq: 2, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{hostInfo(1, platform.Terminated)}}}})
+			w.step(Changed{Change: platform.Change{Seq: 2, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{hostInfo(1, platform.Terminated)}}}})
 			w.pass(time.Second)
 		}, forkhead.Reset, true, 0},
 		"its host is up anew": {stands, func(w *world, link uint64) {
 			info := hostInfo(1, platform.InService)
 			info.Born = float64((w.now + time.Second).Milliseconds())
-			w.step(Changed{platform.Change{Seq: 2, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{info}}}})
+			w.step(Changed{Change: platform.Change{Seq: 2, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{info}}}})
 		}, forkhead.Reset, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -124,7 +124,7 @@
 	for name, wrong := range map[string]func(w *world){
 		"owner gone": func(w *world) { w.step(OwnerGone{1}) },
 		"draining past the grace": func(w *world) {
-			w.step(Changed{platform.Change{Seq: 2, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{hostInfo(1, platform.Terminating)}}}})
+			w.step(Changed{Change: platform.Change{Seq: 2, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{hostInfo(1, platform.Terminating)}}}})
 			w.pass(300 * time.Millisecond)
 		},
 	} {
@@ -475,8 +475,8 @@
 	w := newWorld(t, nil)
 	told[forkhead.Update](w)
 	ch := platform.Change{Seq: 2, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{hostInfo(3, platform.InService)}}}
-	w.step(Changed{ch}, Changed{ch})
-	w.step(Changed{platform.Change{Seq: 1, Fleet: ch.Fleet}})
+	w.step(Changed{Change: ch}, Changed{Change: ch})
+	w.step(Changed{Change: platform.Change{Seq: 1, Fleet: ch.Fleet}})
 	if got := told[forkhead.Update](w); len(got) != 1 || got[0].Mode != forkhead.ListDelta || got[0].Machines[0].ID != 3 {
 		t.Errorf("updates %+v", got)
 	}
@@ -525,7 +525,7 @@
 			gone := hostInfo(n-1, platform.Terminated)
 			fresh := hostInfo(n, platform.InService)
 			fresh.Dial = fmt.Sprintf("10.0.1.%d:1", n%3)
-			w.step(Changed{platform.Change{Seq: seq, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{gone, fresh}}}})
+			w.step(Changed{Change: platform.Change{Seq: seq, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{gone, fresh}}}})
 		}
 		ref := fmt.Sprintf("%016x", i+1)
 		o := w.owner()
--- a/internal/placing/node/owners.go
+++ b/internal/placing/node/owners.go
@@ -407,6 +407,16 @@
 	return h.Sum64()
 }
 
+// halfSaid says whether an owner that has been heard is in the middle of a line: it is owed an answer once that is whole.
+func (c *Core) halfSaid() bool {
+	for _, o := range c.owners {
+		if o.spoke && o.lines.since > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // tendOwners closes connections that have said nothing, or not ended a line, for too long.
 func (c *Core) tendOwners() {
 	var late []*owner
--- a/internal/protocol/platform/events.go
+++ b/internal/protocol/platform/events.go
@@ -28,6 +28,8 @@
 	id   uint64
 	some bool // a data line came
 	cr   bool // the last byte was a carriage return
+	// Rest is called at each comment: the change log has nothing more to tell for now. nil: nobody asks.
+	Rest func()
 }
 
 // Feed takes bytes as they come and calls take for each whole event, which it may keep. After an error the stream
@@ -61,6 +63,12 @@
 		e.data, e.some, e.id = e.data[:0], false, 0
 		return
 	}
+	if e.line[0] == ':' {
+		if e.Rest != nil {
+			e.Rest()
+		}
+		return
+	}
 	name, value, _ := bytes.Cut(e.line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
@@ -127,22 +135,59 @@
 	return uint32(n), err == nil
 }
 
-// Sequence keeps the numbers of the change log in order: each counts once, and a gap is asked for once more.
+// Whole says whether the event holds the whole list: what came before it is of no account any more.
+func (c *Change) Whole() bool { return c.Fleet != nil && c.Fleet.Whole }
+
+// mostHeld bounds the events that are held back until it shows whether the numbers have begun anew.
+const mostHeld = 1024
+
+// Sequence keeps the numbers of the change log in order: each counts once, and a gap is asked for once more. A log that
+// begins its numbers anew answers the next call with a whole list under a number that has been; so does one that tells
+// everything a second time. These events are held back: where they come up to the number that was asked behind, they are
+// old, and where the log then rests, the numbers have begun anew. A whole list under an old number at any other moment is
+// an old one.
 type Sequence struct {
-	Last uint64 // the last that was taken
-	gap  uint64 // where one was missing at the last asking; 0: nowhere
+	Last  uint64 // the last that was taken
+	gap   uint64 // where one was missing at the last asking; 0: nowhere
+	fresh bool   // nothing has come since the log was asked
+	held  []Change
 }
 
-// Next says what to do with an event of that number: take it, pass it over, or ask again behind Last, as events between
-// are missing. A gap that is there when asked again is taken to be one of the numbers, not of events.
-func (s *Sequence) Next(seq uint64) (take, again bool) {
+// Asked begins a stream that was asked for behind Last.
+func (s *Sequence) Asked() { s.fresh, s.held = true, nil }
+
+// Next says what to do with an event: take it, pass it over, or ask again behind Last, as events between are missing. A
+// gap that is there when asked again is taken to be one of the numbers, not of events.
+func (s *Sequence) Next(ch Change) (take, again bool) {
+	fresh := s.fresh
+	s.fresh = false
+	if n := len(s.held); n > 0 {
+		if ch.Seq == s.held[n-1].Seq+1 && ch.Seq < s.Last && n < mostHeld {
+			s.held = append(s.held, ch)
+			return false, false
+		}
+		s.held = nil
+	}
 	switch {
-	case seq <= s.Last:
+	case fresh && ch.Whole() && ch.Seq < s.Last:
+		s.held = []Change{ch}
+		return false, false
+	case ch.Seq <= s.Last:
 		return false, false
-	case seq > s.Last+1 && s.gap != s.Last+1:
+	case ch.Seq > s.Last+1 && !ch.Whole() && s.gap != s.Last+1:
 		s.gap = s.Last + 1
 		return false, true
 	}
-	s.Last = seq
+	s.Last = ch.Seq
 	return true, false
 }
+
+// Rest says that the log has nothing more to tell for now, and returns the events with which its numbers have begun
+// anew; there are none as a rule.
+func (s *Sequence) Rest() []Change {
+	anew := s.held
+	if s.held = nil; len(anew) > 0 {
+		s.Last, s.gap = anew[len(anew)-1].Seq, 0
+	}
+	return anew
+}
--- a/internal/protocol/platform/platform_test.go
+++ b/internal/protocol/platform/platform_test.go
@@ -174,8 +174,56 @@
 		{5, true, false}, {6, true, false}, {7, true, false}, {9, false, true}, // asked again, and it is one:
 		{9, true, false}, {10, true, false}, {12, false, true},
 	} {
-		if take, again := s.Next(c.seq); take != c.take || again != c.again {
+		if take, again := s.Next(Change{Seq: c.seq}); take != c.take || again != c.again {
 			t.Errorf("%d: %d is taken %v, asked again %v", i, c.seq, take, again)
 		}
 	}
 }
+
+// What a log tells a second time is old, what it tells anew from a lower number counts once it rests, and a whole list
+// under an old number in the middle of a stream is passed over.
+func TestSequenceBeginsAnew(t *testing.T) {
+	ev := func(seq uint64, whole bool) Change { return Change{Seq: seq, Fleet: &Fleet{Whole: whole}} }
+	for name, c := range map[string]struct {
+		events []Change
+		taken  []uint64 // at once
+		anew   []uint64 // when the log rests
+		last   uint64
+	}{
+		"told again":                     {[]Change{ev(1, true), ev(2, false), ev(3, false), ev(4, false), ev(5, false), ev(6, false)}, []uint64{6}, nil, 6},
+		"told again, the newest at once": {[]Change{ev(4, true), ev(5, true), ev(6, false)}, []uint64{6}, nil, 6},
+		"anew":                           {[]Change{ev(1, true), ev(2, false)}, nil, []uint64{1, 2}, 2},
+		"an old list in the middle":      {[]Change{ev(6, false), ev(2, true), ev(3, false), ev(7, false)}, []uint64{6, 7}, nil, 7},
+		"no whole list":                  {[]Change{ev(1, false), ev(2, false)}, nil, nil, 5},
+		"a whole list over a gap":        {[]Change{ev(9, true), ev(10, false)}, []uint64{9, 10}, nil, 10},
+	} {
+		s := Sequence{Last: 5}
+		s.Asked()
+		var taken, anew []uint64
+		for _, ch := range c.events {
+			take, again := s.Next(ch)
+			if again {
+				t.Errorf("%s: %d is asked for again", name, ch.Seq)
+			}
+			if take {
+				taken = append(taken, ch.Seq)
+			}
+		}
+		for _, ch := range s.Rest() {
+			anew = append(anew, ch.Seq)
+		}
+		if !slices.Equal(taken, c.taken) || !slices.Equal(anew, c.anew) || s.Last != c.last {
+			t.Errorf("%s: taken %v, anew %v, last %d; want %v, %v, %d", name, taken, anew, s.Last, c.taken, c.anew, c.last)
+		}
+	}
+}
+
+// A comment says that the log rests, between the events that it stands between.
+func TestEventsRest(t *testing.T) {
+	var seen []string
+	e := Events{Rest: func() { seen = append(seen, "rest") }}
+	err := e.Feed([]byte("id: 1\ndata: x\n\n:\n\ndata: y\n: beat\r\n\n"), func(ev Event) { seen = append(seen, string(ev.Data)) })
+	if want := []string{"x", "rest", "rest", "y"}; err != nil || !slices.Equal(seen, want) {
+		t.Errorf("seen %v, %v; want %v", seen, err, want)
+	}
+}
--- a/internal/running/netio/netio.go
+++ b/internal/running/netio/netio.go
@@ -422,7 +422,7 @@
 	}
 	fds := []unix.PollFd{{Fd: int32(c.nb.Hash()), Events: unix.POLLRDHUP}}
 	n, err := unix.Poll(fds, 0)
-	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0
 }
 
 // Reset closes the connection so that the other end sees a reset, and what is queued is lost.
--- a/internal/running/noded/noded.go
+++ b/internal/running/noded/noded.go
@@ -30,6 +30,12 @@
 	toHost        = 1 << 20   // and a host
 	spareSockets  = 24        // descriptors for all but owners and hosts
 	acceptReserve = 8         // accepted connections that the core has not yet heard of
+	mostLingering = 8         // connections that the core has closed and that are written to the end
+	lingerFor     = 200 * time.Millisecond
+	lastWords     = 2 * time.Second       // what is still unread by an owner so long after the core has ended is lost
+	drainQuiet    = 20 * time.Millisecond // without a new connection: the accept queue is empty
+	drainMost     = 300 * time.Millisecond
+	connectWithin = 250 * time.Millisecond // where the settings name no time-out
 )
 
 // Options are what a placer runs with.
@@ -62,11 +68,13 @@
 	owners map[uint64]*wire
 	links  map[uint64]*wire
 	dirty  []*wire
-	front  net.Listener
+	front  *netio.Listener
 
-	lastOwner  atomic.Uint64
-	accepted   atomic.Int64
-	mostOwners int
+	lastOwner atomic.Uint64
+	seats     chan struct{} // one for each connection of an owner
+	lingering atomic.Int64
+	connect   time.Duration
+	endBy     time.Duration // the core has ended, and owners have until then to read; 0: it has not
 
 	changes *changes
 	tell    net.PacketConn
@@ -75,6 +83,7 @@
 	all     netip.AddrPort
 
 	ended    chan struct{} // closed when nothing is owed any more
+	killed   chan struct{}
 	endOnce  sync.Once
 	stopOnce sync.Once
 	wait     sync.WaitGroup
@@ -82,13 +91,15 @@
 
 // wire is one connection with what is to be written to it.
 type wire struct {
-	s      *Server
-	id     uint64
-	owner  bool
-	conn   *netio.Conn // nil: being made
-	buf    []byte
-	dirty  bool
-	closed bool // by the core
+	s       *Server
+	id      uint64
+	owner   bool
+	conn    *netio.Conn // nil: being made
+	buf     []byte
+	dirty   bool
+	closed  bool        // by the core or by the other end
+	left    atomic.Bool // its seat is free
+	lingers atomic.Bool // it is written to the end and then closed
 }
 
 // Start begins to serve. What is wrong with the configuration comes back as a ConfigError.
@@ -128,7 +139,11 @@
 	}
 	s := &Server{
 		log: o.Log, clock: clock.New(), engine: engine, core: core, tap: o.Tap, owners: map[uint64]*wire{}, links: map[uint64]*wire{},
-		mostOwners: c.Owners + acceptReserve, self: info.Me, ended: make(chan struct{}),
+		seats: make(chan struct{}, c.Owners+acceptReserve), self: info.Me, ended: make(chan struct{}), killed: make(chan struct{}),
+		connect: set.ConnectTimeout,
+	}
+	if s.connect <= 0 {
+		s.connect = connectWithin
 	}
 	s.loop = loop.New(s.clock, mostJobs, s.step)
 	if err := s.listenPeers(cfg); err != nil {
@@ -145,8 +160,8 @@
 	for _, ch := range cfg.Known.Results {
 		last = max(last, ch.Seq)
 	}
-	s.changes = follow(cfg.ChangeLog, last, s.log, func(ch platform.Change) {
-		s.loop.Wait(func() { s.put(node.Changed{Change: ch}) })
+	s.changes = follow(cfg.ChangeLog, last, s.connect, s.log, func(ch platform.Change, anew bool) {
+		s.loop.Wait(func() { s.put(node.Changed{Change: ch, Anew: anew}) })
 	})
 	return s, nil
 }
@@ -197,6 +212,7 @@
 // Kill ends the placer at once.
 func (s *Server) Kill() {
 	s.stopOnce.Do(func() {
+		close(s.killed)
 		s.changes.stop()
 		s.loop.Stop()
 		s.closeTell()
@@ -221,15 +237,34 @@
 		w.flush()
 	}
 	s.dirty = s.dirty[:0]
+	if s.endBy > 0 && (now >= s.endBy || s.allWritten()) {
+		s.endOnce.Do(func() { close(s.ended) })
+	}
 	return s.core.Next(), true
 }
 
+// allWritten says whether owners have all that was written for them.
+func (s *Server) allWritten() bool {
+	for _, w := range s.owners {
+		if !w.conn.Gone() && w.conn.Pending() > 0 {
+			return false
+		}
+	}
+	return s.lingering.Load() == 0
+}
+
 func (s *Server) carry(o node.Output) {
 	switch o := o.(type) {
 	case node.ToOwner:
 		s.write(s.owners[o.Owner], o.Line)
 	case node.ToHost:
-		s.write(s.links[o.Link], o.Line)
+		w := s.links[o.Link]
+		s.write(w, o.Line)
+		if o.GivesUp && w != nil && w.conn != nil && w.conn.Unsent() {
+			// The offer may not have left yet, and would begin whenever the host reads on: guards against attempts that
+			// begin long after their owner has left. Closing a connection gives up what is open on it.
+			w.conn.Reset()
+		}
 	case node.CloseOwner:
 		s.close(s.owners, o.Owner)
 	case node.CloseLink:
@@ -239,9 +274,11 @@
 	case node.ToPlacer:
 		s.send(o)
 	case node.Deafen:
-		_ = s.front.Close()
+		s.front.Drain(drainQuiet, drainMost)
 	case node.Ended:
-		s.endOnce.Do(func() { close(s.ended) })
+		if s.endBy == 0 {
+			s.endBy = s.clock.Now() + lastWords
+		}
 	case node.Logged:
 		if o.Defect {
 			s.log.Error().Msg(o.Text)
@@ -278,17 +315,45 @@
 	}
 	delete(of, id)
 	w.closed = true
-	if w.conn != nil {
-		w.flush()
+	if w.conn == nil {
+		return
+	}
+	w.flush()
+	if w.conn.Pending() == 0 || !s.linger(w) {
 		w.conn.Close()
 	}
 }
 
-// accept takes a connection of an owner. It guards against more of them than descriptors: the core makes room, and
-// what comes faster than that is closed.
+// linger closes a connection once all that was written to it has gone out: what is queued when a connection is closed is
+// lost. It returns false where too many linger already.
+func (s *Server) linger(w *wire) bool {
+	if s.lingering.Add(1) > mostLingering {
+		s.lingering.Add(-1)
+		return false
+	}
+	w.lingers.Store(true)
+	w.leave() // the core has room for another already
+	w.conn.CloseWritten(lingerFor)
+	if w.conn.Gone() { // perhaps before it lingered
+		w.lingered()
+	}
+	return true
+}
+
+// lingered counts a connection that lingered as closed, once.
+func (w *wire) lingered() {
+	if w.lingers.Swap(false) {
+		w.s.lingering.Add(-1)
+	}
+}
+
+// accept takes a connection of an owner. Where all seats are taken it waits for one: the core gives up a connection for
+// each that it hears of beyond its bound. It guards against more connections than descriptors, and against usual owners
+// that are closed unheard because others came at the same moment: they wait in the accept queue instead.
 func (s *Server) accept(c *netio.Conn) netio.Handler {
-	if int(s.accepted.Add(1)) > s.mostOwners {
-		s.accepted.Add(-1)
+	select {
+	case s.seats <- struct{}{}:
+	case <-s.killed:
 		return nil
 	}
 	w := &wire{s: s, id: s.lastOwner.Add(1), owner: true, conn: c}
@@ -298,16 +363,23 @@
 			s.put(node.Accepted{Owner: w.id})
 		}
 	}) {
-		s.accepted.Add(-1)
+		w.leave()
 		return nil
 	}
 	return w
 }
 
+// leave frees the seat of an owner's connection, once.
+func (w *wire) leave() {
+	if w.owner && !w.left.Swap(true) {
+		<-w.s.seats
+	}
+}
+
 func (s *Server) dial(o node.Dial) {
 	w := &wire{s: s, id: o.Link}
 	s.links[o.Link] = w
-	s.engine.Dial(o.Address, connectWithin, toHost, w, func(c *netio.Conn, err error) {
+	s.engine.Dial(o.Address, s.connect, toHost, w, func(c *netio.Conn, err error) {
 		s.loop.Do(func() {
 			switch {
 			case w.closed:
@@ -325,14 +397,18 @@
 	})
 }
 
-// Data takes bytes of a connection.
-func (w *wire) Data(_ *netio.Conn, p []byte) {
+// Data takes bytes of a connection. The core sees what an owner sent last together with its leaving: it guards against
+// attempts for an owner that left while its bytes waited to be read.
+func (w *wire) Data(c *netio.Conn, p []byte) {
 	data := append([]byte(nil), p...)
 	w.s.loop.Wait(func() {
 		switch {
 		case w.closed:
 		case w.owner:
 			w.s.put(node.OwnerData{Owner: w.id, Data: data})
+			if len(data) < netio.ReadSize && c.Left() {
+				w.s.gone(w)
+			}
 		default:
 			w.s.put(node.HostData{Link: w.id, Data: data})
 		}
@@ -341,22 +417,24 @@
 
 // Closed takes the end of a connection.
 func (w *wire) Closed(*netio.Conn, error) {
+	w.lingered()
+	w.leave()
+	w.s.loop.Do(func() { w.s.gone(w) })
+}
+
+// gone tells the core, once, that the other end of a connection has left.
+func (s *Server) gone(w *wire) {
+	if w.closed {
+		return
+	}
+	w.closed = true
 	if w.owner {
-		w.s.accepted.Add(-1)
+		delete(s.owners, w.id)
+		s.put(node.OwnerGone{Owner: w.id})
+	} else {
+		delete(s.links, w.id)
+		s.put(node.LinkGone{Link: w.id})
 	}
-	w.s.loop.Do(func() {
-		if w.closed {
-			return
-		}
-		w.closed = true
-		if w.owner {
-			delete(w.s.owners, w.id)
-			w.s.put(node.OwnerGone{Owner: w.id})
-		} else {
-			delete(w.s.links, w.id)
-			w.s.put(node.LinkGone{Link: w.id})
-		}
-	})
 }
 
 // ---- Other placers.
