Connections to silent hosts no longer use up the descriptors, which lost standing tasks

Cause: tendHost called on each host with tasks that had said nothing for 2 s by a new connection, dial(h, true), past every bound, and kept it; with descriptors gone, DialFailed counted as the host's silence (testedAt was set before the test had run). Change: both kinds of connections share one room (roomFor, spareLink, accepted); a connection that was made as a test is closed when it has shown that; a connection that we could not make says nothing of the host (Ours), and its offer was not sent. Tests: TestSilentHostIsTested, TestNoDescriptorForAnOffer, TestRoomForConnections.

--- a/internal/placing/node/api.go
+++ b/internal/placing/node/api.go
@@ -19,7 +19,9 @@
 	Seed     uint64
 	Known    []platform.Change // the change log up to the start
 	Owners   int               // most connections of owners
+	Kept     int               // and how many of them do not make room for connections to hosts; 0: none makes room
 	Links    int               // most connections to hosts
+	Room     int               // most connections of both kinds; 0: Owners and Links together
 	// Decide stands in the module's place, for tests; nil: the module.
 	Decide func(now time.Duration, events []forkhead.Event) []forkhead.Action
 }
@@ -73,10 +75,12 @@
 	OwnerGone struct{ Owner uint64 }
 	// Dialled says that a connection to a host is made.
 	Dialled struct{ Link uint64 }
-	// DialFailed says that it is not made; Refused proves that nothing listens there.
+	// DialFailed says that it is not made; Refused proves that nothing listens there, and Ours that this process could
+	// not try: it says nothing of the host.
 	DialFailed struct {
 		Link    uint64
 		Refused bool
+		Ours    bool
 	}
 	// HostData is bytes from a host.
 	HostData struct {
--- a/internal/placing/node/bench_test.go
+++ b/internal/placing/node/bench_test.go
@@ -119,7 +119,7 @@
 func (w *world) refuse(refused bool) {
 	for _, l := range slices.Clone(w.c.hosts[1].links) {
 		if !l.open {
-			w.step(DialFailed{l.id, refused})
+			w.step(DialFailed{Link: l.id, Refused: refused})
 		}
 	}
 }
--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -64,6 +64,12 @@
 
 // New returns a core that has the list of the start, or an error that names the setting it cannot use.
 func New(cfg Config) (*Core, error) {
+	if cfg.Kept == 0 {
+		cfg.Kept = cfg.Owners
+	}
+	if cfg.Room == 0 {
+		cfg.Room = cfg.Owners + cfg.Links
+	}
 	c := &Core{
 		cfg: cfg, set: &cfg.Settings, decide: cfg.Decide, owners: map[uint64]*owner{}, tasks: map[forkhead.TaskID]*request{},
 		refs: map[string]*request{}, services: map[uint64][]*try{},
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -29,7 +29,7 @@
 	links   []*link
 
 	heardAt  time.Duration // the last byte of it, or a connection was made
-	testedAt time.Duration // of a test of its silence
+	failedAt time.Duration // a connection to it was not made, and that was not for want of descriptors here
 	redialAt time.Duration
 	rest     time.Duration
 	refusals int // in a row, with no connection open
@@ -48,6 +48,7 @@
 	out     int    // attempts
 	waiting []*try // for it to open
 	hello   bool   // a probe waits for it to open
+	test    bool   // it is made to see whether a silent host takes a connection
 }
 
 // probe is a test that the module asked for.
@@ -86,7 +87,7 @@
 func (c *Core) carry(t *try) {
 	l := t.host.best()
 	if l == nil || l.out > 0 && len(t.host.links) < linksEach {
-		if made := c.dial(t.host, false); made != nil {
+		if made := c.dial(t.host); made != nil {
 			l = made
 		}
 	}
@@ -109,20 +110,10 @@
 	}
 }
 
-// dial makes a connection. Where the bound is met it returns nil, after an idle one of another host was closed for the
-// next to come.
-func (c *Core) dial(h *host, always bool) *link {
-	if len(c.links) >= c.cfg.Links && !always {
-		var idle *link
-		for _, l := range c.links {
-			if l.open && l.out == 0 && len(l.host.links) > 1 && (idle == nil || l.usedAt < idle.usedAt) {
-				idle = l
-			}
-		}
-		if idle == nil {
-			return nil
-		}
-		c.cut(idle)
+// dial makes a connection, or returns nil where there is no room for one.
+func (c *Core) dial(h *host) *link {
+	if !c.roomFor(h) {
+		return nil
 	}
 	c.lastLink++
 	l := &link{id: c.lastLink, host: h, usedAt: c.now}
@@ -132,6 +123,51 @@
 	return l
 }
 
+// roomFor makes room for one more connection to a host: an idle one to another host goes, else one of owners beyond
+// those that are kept. It guards against descriptors that run out, where neither hosts nor owners nor the change log could
+// be reached any more.
+func (c *Core) roomFor(h *host) bool {
+	if len(c.links) < c.cfg.Links && len(c.links)+len(c.owners) < c.cfg.Room {
+		return true
+	}
+	if l := c.spareLink(h); l != nil {
+		c.spare(l)
+		return true
+	}
+	if o := c.spareOwner(); o != nil && len(c.links) < c.cfg.Links && len(c.owners) > c.cfg.Kept {
+		c.hangUp(o)
+		return true
+	}
+	return false
+}
+
+// spareLink is the idle connection that is the first to go, of a host other than the one given: of those to hosts that
+// have others or hold none of our tasks the longest unused, then of all. nil: none is idle.
+func (c *Core) spareLink(but *host) *link {
+	var best *link
+	needed, bestAt := false, time.Duration(0)
+	for _, l := range c.links {
+		if !l.open || l.out > 0 || l.host == but {
+			continue
+		}
+		at := max(l.usedAt, l.heardAt)
+		only := len(l.host.links) == 1 && l.host.standing()
+		if best == nil || needed && !only || needed == only && (at < bestAt || at == bestAt && l.id < best.id) {
+			best, needed, bestAt = l, only, at
+		}
+	}
+	return best
+}
+
+// spare closes an idle connection. A host that holds tasks and has no other is called on again in time to see whether it
+// is still there, and says then what became of them.
+func (c *Core) spare(l *link) {
+	if len(l.host.links) == 1 {
+		l.host.redialAt = max(l.host.redialAt, c.now+quietAfter)
+	}
+	c.cut(l)
+}
+
 func (c *Core) dialled(id uint64) {
 	l := c.links[id]
 	if l == nil {
@@ -149,6 +185,10 @@
 	for _, t := range waiting {
 		c.write(t)
 	}
+	if l.test && l.out == 0 && len(h.links) > 1 {
+		// It has shown that the host is up. Guards against connections that heap up to hosts with little to say.
+		c.cut(l)
+	}
 }
 
 func (c *Core) dialFailed(in DialFailed) {
@@ -157,6 +197,15 @@
 		return
 	}
 	h := l.host
+	if in.Ours {
+		c.drop(l)
+		h.redialAt = c.now + restFirst
+		for _, t := range l.waiting {
+			t.link = nil
+			c.outcome(t, attempt.CalledOff, forkhead.Moot, forkhead.NoReason, false, nil)
+		}
+		return
+	}
 	switch {
 	case in.Refused && h.best() != nil:
 		// The machine answers and its process holds our connections: it drains, or takes no more. Guards against
@@ -165,6 +214,7 @@
 	case in.Refused:
 		h.refusals++
 	}
+	h.failedAt = c.now
 	h.rest = min(max(2*h.rest, restFirst), restMost)
 	h.redialAt = c.now + h.rest
 	c.drop(l)
@@ -437,7 +487,9 @@
 		}
 	}
 	if h.address != "" {
-		c.dial(h, true).hello = true
+		if l := c.dial(h); l != nil {
+			l.hello = true
+		}
 	}
 }
 
@@ -648,14 +700,15 @@
 	switch {
 	case making:
 	case h.best() == nil && c.now >= h.redialAt:
-		c.dial(h, true)
-	case quiet > lostAfter && h.testedAt > h.heardAt:
+		c.dial(h)
+	case quiet > lostAfter && h.failedAt > h.heardAt+quietAfter:
 		c.lose(h, "it says nothing and takes no connection")
 		for _, l := range slices.Clone(h.links) {
 			c.cut(l)
 		}
 	case quiet > quietAfter && c.now >= h.redialAt:
-		h.testedAt = c.now
-		c.dial(h, true)
+		if l := c.dial(h); l != nil {
+			l.test = true
+		}
 	}
 }
--- a/internal/placing/node/node_test.go
+++ b/internal/placing/node/node_test.go
@@ -75,7 +75,7 @@
 		"deadline":      {out, func(w *world, link uint64) { w.pass(1500 * time.Millisecond) }, forkhead.TimedOut, false, 0},
 		"owner leaves":  {out, func(w *world, link uint64) { w.say(1, `{"t":"down","ref":"`+ref1+`","f":{},"c":16}`) }, forkhead.Withdrawn, true, 0},
 		"owner is gone": {out, func(w *world, link uint64) { w.step(OwnerGone{1}) }, forkhead.Withdrawn, true, 0},
-		"not connected": {early, func(w *world, link uint64) { w.step(DialFailed{link, true}) }, forkhead.ConnectFailed, false, 0},
+		"not connected": {early, func(w *world, link uint64) { w.step(DialFailed{Link: link, Refused: true}) }, forkhead.ConnectFailed, false, 0},
 		"ok":            {stands, release(16, ""), forkhead.OK, true, 0},
 		"cut":           {stands, release(41, `"note":"killed"`), forkhead.Reset, true, forkhead.Evicted},
 		"ended":         {stands, release(31, ""), forkhead.Withdrawn, true, 0},
--- a/internal/placing/node/owners.go
+++ b/internal/placing/node/owners.go
@@ -72,16 +72,15 @@
 // task, the new one goes. It guards against usual owners that are pushed out by hundreds who ask once and stay: what
 // became of their tasks could then be told nowhere.
 func (c *Core) accepted(id uint64) {
-	if len(c.owners) >= c.cfg.Owners {
-		var victim *owner
-		for _, o := range c.owners {
-			if len(o.open) > 0 {
-				continue
-			}
-			if o.use() < 3 && (victim == nil || o.less(victim)) {
-				victim = o
-			}
+	full := len(c.owners) >= c.cfg.Owners
+	if !full && len(c.owners)+len(c.links) >= c.cfg.Room {
+		l := c.spareLink(nil)
+		if full = l == nil; !full {
+			c.spare(l)
 		}
+	}
+	if full {
+		victim := c.spareOwner()
 		if victim == nil {
 			c.do(CloseOwner{id})
 			return
@@ -91,6 +90,17 @@
 	c.owners[id] = &owner{id: id, at: c.now, usedAt: c.now, open: map[*request]struct{}{}}
 }
 
+// spareOwner is the connection of owners that is the first to go; nil: none may.
+func (c *Core) spareOwner() *owner {
+	var victim *owner
+	for _, o := range c.owners {
+		if len(o.open) == 0 && o.use() < 3 && (victim == nil || o.less(victim)) {
+			victim = o
+		}
+	}
+	return victim
+}
+
 // hangUp closes a connection. Its open requests, of which there should be none, are failed first.
 func (c *Core) hangUp(o *owner) {
 	for _, r := range c.openOf(o) {
--- /dev/null
+++ b/internal/placing/node/room_test.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/protocol/platform"
+)
+
+// live lets time go by with connections that come about as made says.
+func (w *world) live(d time.Duration, made func(Dial) Input, each func()) {
+	for end := w.now + d; w.now < end; {
+		w.now += 10 * time.Millisecond
+		w.step()
+		for dials := only[Dial](w.out); len(dials) > 0; dials = only[Dial](w.out) {
+			var in []Input
+			for _, d := range dials {
+				in = append(in, made(d))
+			}
+			w.step(in...)
+		}
+		each()
+	}
+}
+
+// A host that holds tasks and says nothing for long is tested, and connections to it do not heap up. It is lost where it
+// takes none any more, and is not where only we could not make one.
+func TestSilentHostIsTested(t *testing.T) {
+	for name, c := range map[string]struct {
+		made func(Dial) Input
+		lost bool
+	}{
+		"it takes connections": {func(d Dial) Input { return Dialled{d.Link} }, false},
+		"it takes none":        {func(d Dial) Input { return DialFailed{Link: d.Link} }, true},
+		"we have none":         {func(d Dial) Input { return DialFailed{Link: d.Link, Ours: true} }, false},
+	} {
+		w := newWorld(t, nil)
+		w.placed(ref1)
+		tests, most := 0, 0
+		w.live(60*time.Second, func(d Dial) Input { tests++; return c.made(d) }, func() { most = max(most, len(w.c.hosts[1].links)) })
+		if lost := len(told[forkhead.Outcome](w)) > 0; lost != c.lost {
+			t.Errorf("%s: its task is lost %v, want %v", name, lost, c.lost)
+		}
+		if most > 2 || !c.lost && tests < 10 {
+			t.Errorf("%s: %d connections at once, %d tests", name, most, tests)
+		}
+	}
+}
+
+// An offer whose connection could not be made for want of descriptors was not sent, and its host is not blamed.
+func TestNoDescriptorForAnOffer(t *testing.T) {
+	w := newWorld(t, nil)
+	w.say(w.owner(), setUp(ref1, "keyed", ""))
+	w.step(DialFailed{Link: only[Dial](w.out)[0].Link, Ours: true})
+	if got := told[forkhead.Outcome](w); len(got) != 1 || got[0].Result != forkhead.Moot {
+		t.Errorf("outcomes %+v, want one that was not sent", got)
+	}
+}
+
+// However many hosts hold tasks and fall silent, and however many owners come, both kinds of connections stay within their
+// room; offers, tests of hosts and owners still get theirs.
+func TestRoomForConnections(t *testing.T) {
+	const hosts, room = 60, 40
+	w := newWorld(t, func(cfg *Config) {
+		cfg.Owners, cfg.Kept, cfg.Links, cfg.Room = 26, 13, 27, room
+		infos := []platform.HostInfo{}
+		for n := range hosts {
+			info := hostInfo(n+1, platform.InService)
+			info.Dial = fmt.Sprintf("10.0.2.%d:1", n+1)
+			infos = append(infos, info)
+		}
+		cfg.Known[0].Fleet.Hosts = infos
+	})
+	next := 0
+	w.next = func(ev forkhead.Event) []forkhead.Action {
+		if a, ok := ev.(forkhead.Arrival); ok {
+			next++
+			return []forkhead.Action{forkhead.Offer{Task: a.Task.ID, Machine: forkhead.MachineID(next%hosts + 1)}}
+		}
+		return nil
+	}
+	usual := w.owner()
+	made := func(d Dial) Input { return Dialled{d.Link} }
+	check := func() {
+		if n := len(w.c.links) + len(w.c.owners); n > room || len(w.c.links) > 27 || len(w.c.owners) > 26 {
+			t.Fatalf("%d connections to hosts and %d of owners", len(w.c.links), len(w.c.owners))
+		}
+	}
+	placed := func(i int) {
+		ref := fmt.Sprintf("%016x", 0x1000+i)
+		offered := func(out []Output) {
+			for _, o := range only[ToHost](out) {
+				if strings.Contains(string(o.Line), `"new"`) {
+					w.step(HostData{o.Link, []byte(`{"t":"up","ref":"` + ref + `","f":{},"d":"x"}` + "\n")})
+				}
+			}
+		}
+		out := slices.Clone(w.say(usual, strings.Replace(setUp(ref, "keyed", ""), "b4d65521", fmt.Sprintf("%08x", i), 1)))
+		offered(append(out, w.dials()...))
+		if w.c.refs[ref] == nil || w.c.refs[ref].phase != standing {
+			t.Fatalf("task %d is not placed: %q", i, lines[ToOwner](w.out))
+		}
+		check()
+	}
+	for i := range hosts {
+		placed(i)
+	}
+	called := map[uint64]bool{}
+	w.live(10*time.Second, func(d Dial) Input {
+		if l := w.c.links[d.Link]; l != nil {
+			called[uint64(l.host.number)] = true
+		}
+		return made(d)
+	}, check)
+	if len(called) < hosts-27 {
+		t.Errorf("%d of %d silent hosts are called on", len(called), hosts)
+	}
+	if got := told[forkhead.Outcome](w); len(got) > 0 {
+		t.Errorf("%d tasks of hosts that are up are lost", len(got))
+	}
+	for range 500 { // owners who say nothing
+		w.now += time.Millisecond
+		w.owner()
+		check()
+	}
+	if len(w.c.owners) < 13 {
+		t.Errorf("%d connections of owners are left", len(w.c.owners))
+	}
+	placed(hosts)
+}
--- a/internal/running/noded/noded.go
+++ b/internal/running/noded/noded.go
@@ -120,7 +120,8 @@
 	room := max(sockets-spareSockets, 16)
 	c := node.Config{
 		Settings: set, Idle: bootinfo.Duration(info.Caps.ConnIdle), Seed: cfg.SeedNumber(), Known: cfg.Known.Results,
-		Owners: room * 2 / 3, Links: room - room*2/3 - acceptReserve,
+		// Usual owners hold a third of the limit at most; what they and others leave is for hosts, and the other way.
+		Owners: room * 2 / 3, Kept: min(sockets/3, room/2), Links: room - acceptReserve - min(sockets/3, room/2), Room: room - acceptReserve,
 		Names: node.Names{Zones: info.Zones, Kinds: info.Kinds},
 	}
 	for i := range info.Classes {
@@ -388,7 +389,7 @@
 				}
 			case err != nil || c.Gone():
 				delete(s.links, o.Link)
-				s.put(node.DialFailed{Link: o.Link, Refused: errors.Is(err, syscall.ECONNREFUSED)})
+				s.put(node.DialFailed{Link: o.Link, Refused: errors.Is(err, syscall.ECONNREFUSED), Ours: ours(err)})
 			default:
 				w.conn = c
 				s.put(node.Dialled{Link: o.Link})
@@ -397,6 +398,16 @@
 	})
 }
 
+// ours says whether a connection was not made for want of something here.
+func ours(err error) bool {
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, net.ErrClosed} {
+		if errors.Is(err, lack) {
+			return true
+		}
+	}
+	return false
+}
+
 // Data takes bytes of a connection. The core sees what an owner sent last together with its leaving: it guards against
 // attempts for an owner that left while its bytes waited to be read.
 func (w *wire) Data(c *netio.Conn, p []byte) {
