A machine that is cut off for less than the protocol's 8 s keeps its tasks

Cause: lostAfter, 5 s of our own choosing; the protocol gives 8 s from a task's end where no release could be sent. What silence was before the cut counts too: quietAfter is 1 s instead of 2, so a cut of up to 6.5 s loses nothing; one more call is made shortly before the end, however long the host rests. Tests: TestMachineCutOff (fails with 5 s, and without the last call).

--- a/internal/placing/node/api.go
+++ b/internal/placing/node/api.go
@@ -47,11 +47,12 @@
 	retest        = 120 * time.Millisecond // a probe that is not answered is sent again on another connection
 	restFirst     = 100 * time.Millisecond // between connections that were refused or not made
 	restMost      = time.Second
-	quietAfter    = 2 * time.Second // a host with standing tasks that has said nothing for so long is tested
-	lostAfter     = 5 * time.Second // and is lost after this, where no connection to it could be made since
+	quietAfter    = time.Second                    // a host with standing tasks that has said nothing for so long is called on, and again
+	lostAfter     = owedFor - 500*time.Millisecond // and is lost after this, where no connection to it could be made since
+	lastCall      = 500 * time.Millisecond
 	goneAfter     = 500 * time.Millisecond
-	hostsWord     = time.Second // a release that the host does not answer counts as heard
-	owedFor       = 8 * time.Second
+	hostsWord     = time.Second      // a release that the host does not answer counts as heard
+	owedFor       = 8 * time.Second  // the protocol: what is over and could not be told is released within this time of its end
 	forgetHost    = 30 * time.Second // a host that is gone and holds nothing is forgotten
 	tendEvery     = 50 * time.Millisecond
 	mostWait      = 60 * 24 * time.Hour // the longest that an owner may say it waits
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -697,16 +697,18 @@
 	}
 	making := slices.ContainsFunc(h.links, func(l *link) bool { return !l.open })
 	quiet := c.now - h.heardAt
+	// However long it rests between calls, it is called on once more shortly before it is lost.
+	last := quiet > lostAfter-lastCall && h.failedAt < h.heardAt+lostAfter-lastCall
 	switch {
-	case making:
-	case h.best() == nil && c.now >= h.redialAt:
-		c.dial(h)
-	case quiet > lostAfter && h.failedAt > h.heardAt+quietAfter:
+	case quiet > lostAfter && h.failedAt > h.heardAt+quietAfter && (!making || quiet > lostAfter+lastCall/2):
 		c.lose(h, "it says nothing and takes no connection")
 		for _, l := range slices.Clone(h.links) {
 			c.cut(l)
 		}
-	case quiet > quietAfter && c.now >= h.redialAt:
+	case making:
+	case h.best() == nil && (c.now >= h.redialAt || last):
+		c.dial(h)
+	case quiet > quietAfter && (c.now >= h.redialAt || last):
 		if l := c.dial(h); l != nil {
 			l.test = true
 		}
--- a/internal/placing/node/room_test.go
+++ b/internal/placing/node/room_test.go
@@ -132,3 +132,32 @@
 	}
 	placed(hosts)
 }
+
+// A machine that is cut off for less than the protocol's time keeps its tasks; of one that does not come back the owners
+// hear within that time, counted from when it was last heard.
+func TestMachineCutOff(t *testing.T) {
+	for _, cut := range []time.Duration{6 * time.Second, time.Hour} {
+		w := newWorld(t, nil)
+		w.placed(ref1)
+		up := func(d Dial) Input { return Dialled{d.Link} }
+		w.live(3*time.Second, up, func() {})
+		heard, from := w.c.hosts[1].heardAt, w.now
+		over := time.Duration(0)
+		w.live(10*time.Second, func(d Dial) Input {
+			if w.now > from+cut {
+				return up(d)
+			}
+			return DialFailed{Link: d.Link}
+		}, func() {
+			if over == 0 && slices.Contains(lines[ToOwner](w.out), "down "+ref1+" 41") {
+				over = w.now
+			}
+		})
+		if cut < time.Minute && over > 0 {
+			t.Errorf("cut off for %v: its task is released after %v", cut, over-heard)
+		}
+		if cut > time.Minute && (over == 0 || over > heard+8*time.Second) {
+			t.Errorf("gone: its task is released %v after it was last heard", over-heard)
+		}
+	}
+}
