--- a/internal/running/netio/netio.go
+++ b/internal/running/netio/netio.go
@@ -57,6 +57,8 @@
 	// fence orders the making of a connection before its first event. The poller hands them over
 	// through the kernel, which the memory model does not know of.
 	fence atomic.Uint64
+	taken []atomic.Bool // by poller: it has carried data
+	pair  func() (net.Conn, net.Conn, error)
 }
 
 // Conn is one connection.
@@ -105,10 +107,11 @@
 
 // New starts an engine with so many polling goroutines.
 func New(name string, pollers int) (*Engine, error) {
-	e := &Engine{lns: map[*Listener]bool{}}
+	e := &Engine{lns: map[*Listener]bool{}, pair: pair, taken: make([]atomic.Bool, pollers)}
 	e.eng = nbio.NewEngine(nbio.Config{Name: name, NPoller: pollers, ReadBufferSize: ReadSize})
 	e.eng.OnData(func(nb *nbio.Conn, p []byte) {
 		e.fence.Load()
+		e.taken[nb.Hash()%pollers].Store(true) // as nbio deals descriptors out
 		if c, ok := nb.Session().(*Conn); ok && !c.closed.Load() {
 			c.handler.Data(c, p)
 		}
@@ -133,24 +136,29 @@
 	if err := e.eng.Start(); err != nil {
 		return nil, err
 	}
-	if err := e.prove(pollers); err != nil {
-		return nil, err
-	}
 	return e, nil
 }
 
-// prove waits until every poller has taken an event. It guards against nbio's own race: a poller
-// that is stopped before its goroutine has come to its loop forgets that it was, spins, and Stop
-// waits for it for good (nbio 1.6.8: readWriteLoop sets shutdown to false).
-func (e *Engine) prove(pollers int) error {
+// prove waits until every poller has taken an event; one that has carried data has. It guards against nbio's own race: a
+// poller that is stopped before its goroutine has come to its loop forgets that it was, spins, and Stop waits for it for
+// good (nbio 1.6.8: readWriteLoop sets shutdown to false). It comes at the end, as only an engine that has carried nothing
+// needs it: where a placer serves there may be none of the sockets that it takes.
+func (e *Engine) prove() error {
 	const tries = 64
-	taken := make(chan int, tries)
-	proven := map[int]bool{}
-	for try := 0; len(proven) < pollers; try++ {
+	for try := 0; ; try++ {
+		unproven := 0
+		for i := range e.taken {
+			if !e.taken[i].Load() {
+				unproven++
+			}
+		}
+		if unproven == 0 {
+			return nil
+		}
 		if try == tries {
 			return errors.New("netio: the pollers do not take events")
 		}
-		out, in, err := pair()
+		out, in, err := e.pair()
 		if err != nil {
 			return err
 		}
@@ -164,8 +172,8 @@
 		if err != nil {
 			return err
 		}
-		n := nb.Hash() % pollers
-		nb.SetSession(&Conn{nb: nb, handler: prover{n, taken}})
+		taken := make(chan struct{}, 1)
+		nb.SetSession(&Conn{nb: nb, polled: true, handler: prover{taken}})
 		e.fence.Add(1)
 		if _, err := e.eng.AddConn(nb); err != nil {
 			return err
@@ -174,13 +182,11 @@
 			return err
 		}
 		select {
-		case n := <-taken:
-			proven[n] = true
+		case <-taken:
 		case <-time.After(5 * time.Second):
 			return errors.New("netio: a poller does not take events")
 		}
 	}
-	return nil
 }
 
 // pair makes two ends of a stream without a listener: where a placer may listen is not ours to choose.
@@ -201,15 +207,14 @@
 	return ends[0], ends[1], nil
 }
 
-// prover says which poller took an event.
+// prover says that a poller took an event.
 type prover struct {
-	n     int
-	taken chan int
+	taken chan struct{}
 }
 
 // Data reports and closes.
 func (p prover) Data(c *Conn, _ []byte) {
-	p.taken <- p.n
+	p.taken <- struct{}{}
 	c.Close()
 }
 
@@ -225,7 +230,9 @@
 	}
 	e.mu.Unlock()
 	e.wait.Wait()
-	e.eng.Stop()
+	if e.prove() == nil { // else its goroutines stay, which cost little
+		e.eng.Stop()
+	}
 }
 
 // Listen accepts connections at an address until the listener or the engine is closed. accept
--- a/internal/running/netio/netio_test.go
+++ b/internal/running/netio/netio_test.go
@@ -286,3 +286,30 @@
 func (o opener) Opened(c *Conn)      { o <- c }
 func (o opener) Data(*Conn, []byte)  {}
 func (o opener) Closed(*Conn, error) {}
+
+// An engine that has carried something stops without a socket of another kind than it serves on: a placer's platform may
+// have none.
+func TestNoOtherSockets(t *testing.T) {
+	e, err := New("test", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.pair = func() (net.Conn, net.Conn, error) {
+		t.Error("a pair of sockets is made")
+		return nil, nil, errors.ErrUnsupported
+	}
+	ln, err := e.Listen("127.0.0.1:0", 1<<20, func(*Conn) Handler { return &echo{closed: make(chan error, 1), back: true} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = c.Write([]byte("x"))
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	e.Stop()
+}
