Settings are checked field by field at the start and at SIGHUP

Need: a setting that a decision rests on and that was missing, of another type or out of range went as a zero: no attempts (classMost 0 with a spread), no bound on offers to cold hosts (rules.fall 0), no grace. At SIGHUP only the frame of the file was read. bootinfo.Check names the first such field in one line, exit 2; at SIGHUP it is logged and the old configuration stays, its change log too. Unknown fields are passed over. TestNodeBadConfiguration now wants the platform's word 'balancers is missing' in place of the module's 'Placers'.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -65,6 +65,9 @@
 					s.Stop()
 				case <-signals:
 					fresh, err := platformConfig()
+					if err == nil {
+						err = noded.Check(fresh)
+					}
 					if err != nil {
 						a.log.Error().Err(err).Msg("the new configuration cannot be used; the old one stays")
 						continue
--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -20,7 +20,7 @@
 	dir := t.TempDir()
 	for name, text := range map[string]string{
 		"BALANCER_CONFIG is not set": "", "no such file": "-", "configuration:": "{", "listen": `{"settings":{},"changelog":"x"}`,
-		"Placers": `{"listen":"127.0.0.1:0","changelog":"127.0.0.1:1","settings":{}}`,
+		"balancers is missing": `{"listen":"127.0.0.1:0","changelog":"127.0.0.1:1","settings":{}}`,
 	} {
 		file := filepath.Join(dir, "config.json")
 		switch text {
@@ -62,7 +62,7 @@
 		defer logs[i].Close()
 	}
 	file := filepath.Join(dir, "config.json")
-	write := func(log net.Listener) {
+	write := func(log net.Listener, settings string) {
 		text, err := json.Marshal(map[string]any{
 			"listen": "127.0.0.1:1", "changelog": log.Addr().String(), "settings": json.RawMessage(settings), "limits": map[string]any{"cores": 0.5, "memory_mb": 64, "sockets": 256},
 			"known": json.RawMessage(`{"seq":7,"results":[{"seq":7,"fleet":{"whole":true,"hosts":[{"host":"s-00000001","dial":"127.0.0.1:1","site":"z","class":"std","health":"in_service","free":[4,4]}]}}]}`),
@@ -74,7 +74,7 @@
 			t.Fatal(err)
 		}
 	}
-	write(logs[0])
+	write(logs[0], string(settings))
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -131,7 +131,15 @@
 	}
 	_ = c.Process.Signal(syscall.SIGHUP)
 	well()
-	write(logs[1])
+	write(logs[1], `{"balancers":0}`) // the address is good, the settings are not: the old configuration stays
+	_ = c.Process.Signal(syscall.SIGHUP)
+	well()
+	_ = logs[1].(*net.TCPListener).SetDeadline(time.Now().Add(300 * time.Millisecond))
+	if conn, err := logs[1].Accept(); err == nil {
+		conn.Close()
+		t.Error("a configuration that cannot be used is gone by")
+	}
+	write(logs[1], string(settings))
 	_ = c.Process.Signal(syscall.SIGHUP)
 	asked(logs[1])
 	well()
--- a/internal/running/noded/noded.go
+++ b/internal/running/noded/noded.go
@@ -102,9 +102,30 @@
 	lingers atomic.Bool // it is written to the end and then closed
 }
 
+// Check says what of a configuration a placer cannot go by, as a ConfigError.
+func Check(cfg *platform.Config) error {
+	if err := bootinfo.Check(cfg.Settings); err != nil {
+		return ConfigError{err}
+	}
+	for i, p := range cfg.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			return ConfigError{fmt.Errorf("peers[%d]: %w", i, err)}
+		}
+	}
+	for name, address := range map[string]string{"changelog": cfg.ChangeLog, "listen": cfg.Listen, "peer_listen": cfg.PeerListen, "peers_all": cfg.PeersAll} {
+		if _, _, err := net.SplitHostPort(address); address != "" && err != nil {
+			return ConfigError{fmt.Errorf("%s: %w", name, err)}
+		}
+	}
+	return nil
+}
+
 // Start begins to serve. What is wrong with the configuration comes back as a ConfigError.
 func Start(o Options) (*Server, error) {
 	cfg := o.Config
+	if err := Check(cfg); err != nil {
+		return nil, err
+	}
 	info, err := bootinfo.Parse(cfg.Settings)
 	if err != nil {
 		return nil, ConfigError{err}
