Hand-overs, repeated offers and idle closing: crossings that left tasks standing for nobody

Found by reading placing/node where two events cross; each test in crossings_test.go fails without the lines. - A release that comes before the hand-over of its task was acknowledged and forgotten: the task stood for ever (hostLine). Now remembered within mostGivenUp: TestHandedOverAfterItsEnd. - A hand-over at a host that the list does not have yet was released at once though it stands; it waits 2.5 s for the list, and hosts by owners' word alone are bounded: TestHandedOverBeforeTheList, TestManyUnlistedHosts. - Hand-overs at a host that has gone counted as malformed and closed a usual owner's connection after 64: same test. - An attempt given up and offered to the same host again: its cut came with cause 31, which is owed no release, and the owner took the task for standing (hostRelease): TestCutByAnEarlierGiveUp. - Idle connections that tasks need were tested with hb also where settings allow no tests; they are replaced there: TestIdleWithoutTests.

--- a/internal/placing/node/api.go
+++ b/internal/placing/node/api.go
@@ -38,7 +38,8 @@
 	mostBadLines  = 64                    // lines of one connection that were turned down as malformed
 	linksEach     = 8                     // connections to one host
 	streamsEach   = 32                    // attempts out on one connection
-	mostGivenUp   = 4096                  // attempts remembered after they were given up
+	mostGivenUp   = 4096                  // attempts remembered after they were given up, and releases of unknown tasks
+	mostUnlisted  = 1024                  // hosts that hold tasks by their owners' word and that the list does not have yet
 	mostOwed      = 1024                  // messages that wait for a connection of owners
 	overtaken     = 50 * time.Millisecond // an answer to a later offer by so much shows that a connection is dead
 	wholeLine     = 2 * time.Second
@@ -51,9 +52,10 @@
 	lostAfter     = owedFor - 500*time.Millisecond // and is lost after this, where no connection to it could be made since
 	lastCall      = 500 * time.Millisecond
 	goneAfter     = 500 * time.Millisecond
-	hostsWord     = time.Second      // a release that the host does not answer counts as heard
-	owedFor       = 8 * time.Second  // the protocol: what is over and could not be told is released within this time of its end
-	forgetHost    = 30 * time.Second // a host that is gone and holds nothing is forgotten
+	hostsWord     = time.Second             // a release that the host does not answer counts as heard
+	owedFor       = 8 * time.Second         // the protocol: what is over and could not be told is released within this time of its end
+	forgetHost    = 30 * time.Second        // a host that is gone and holds nothing is forgotten
+	awaitListed   = 2500 * time.Millisecond // a host that an owner names may come to the list so late; bad clients get their answer in 3 s
 	tendEvery     = 50 * time.Millisecond
 	mostWait      = 60 * 24 * time.Hour // the longest that an owner may say it waits
 	stopListening = 800 * time.Millisecond
--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -35,6 +35,8 @@
 	strays   []stray           // attempts of this step whose answer was lost
 	over     []*request        // to be forgotten at the end of the step
 	ended    recent[givenUp]   // attempts that were given up, by host and ref
+	releases recent[release]   // that hosts told of tasks which are not known here
+	waited   int               // hosts that are not listed and hold tasks
 	hosts    map[uint32]*host  // by number
 	links    map[uint64]*link  // all connections to hosts
 	lastLink uint64
@@ -51,6 +53,12 @@
 	ref  string
 }
 
+// release is the end of a task as its host told it, with one of the causes CauseOK, CauseMoved and CauseReset.
+type release struct {
+	givenUp
+	cause int
+}
+
 // stray is an attempt whose answer was lost with its connection: its task may stand.
 type stray struct {
 	host *host
@@ -73,7 +81,7 @@
 	c := &Core{
 		cfg: cfg, set: &cfg.Settings, decide: cfg.Decide, owners: map[uint64]*owner{}, tasks: map[forkhead.TaskID]*request{},
 		refs: map[string]*request{}, services: map[uint64][]*try{},
-		ended: newRecent[givenUp](mostGivenUp), hosts: map[uint32]*host{}, links: map[uint64]*link{},
+		ended: newRecent[givenUp](mostGivenUp), releases: newRecent[release](mostGivenUp), hosts: map[uint32]*host{}, links: map[uint64]*link{},
 	}
 	if c.decide == nil {
 		p, err := forkhead.New(cfg.Settings, cfg.Seed)
--- /dev/null
+++ b/internal/placing/node/crossings_test.go
@@ -0,0 +1,236 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/protocol/platform"
+)
+
+func hold(ref string, host int) string {
+	return setUp(ref, "keyed", fmt.Sprintf(";at:s-%08x", host))
+}
+
+func changedHost(seq uint64, n int, state string) Changed {
+	return Changed{Change: platform.Change{Seq: seq, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{hostInfo(n, state)}}}}
+}
+
+// A task handed over at a host that the list does not have yet stands; the host is called on once it is listed, and the
+// task is released where that does not happen in time.
+func TestHandedOverBeforeTheList(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		w := newWorld(t, nil)
+		o := w.owner()
+		w.want(lines[ToOwner](w.say(o, hold(ref1, 9))))
+		if got := told[forkhead.HandedOver](w); len(got) != 1 || got[0].Machine != 9 {
+			t.Fatalf("the module is told %+v", got)
+		}
+		var out []string
+		w.live(time.Second, func(d Dial) Input { return Dialled{d.Link} }, func() { out = append(out, lines[ToOwner](w.out)...) })
+		if listed {
+			w.step(changedHost(2, 9, platform.InService))
+		}
+		calls := 0
+		w.live(4*time.Second, func(d Dial) Input { calls++; return Dialled{d.Link} }, func() { out = append(out, lines[ToOwner](w.out)...) })
+		if want := "down " + ref1 + " 41"; listed && (calls == 0 || len(out) > 0) || !listed && (len(out) != 1 || out[0] != want) {
+			t.Errorf("listed %v: %d calls, the owner is told %q", listed, calls, out)
+		}
+		if !listed && (w.c.hosts[9] != nil || w.c.waited != 0) {
+			t.Error("a host that never came is not forgotten")
+		}
+	}
+}
+
+// Hosts by owners' word alone are bounded, and nothing is offered to them.
+func TestManyUnlistedHosts(t *testing.T) {
+	w := newWorld(t, nil)
+	o := w.owner()
+	refused := 0
+	for i := range mostUnlisted + 10 {
+		refused += len(lines[ToOwner](w.say(o, hold(fmt.Sprintf("%016x", i+1), 1000+i))))
+	}
+	if refused != 10 || w.c.waited != mostUnlisted {
+		t.Errorf("%d of 10 are turned down, %d are waited for", refused, w.c.waited)
+	}
+	w.next = func(ev forkhead.Event) []forkhead.Action {
+		if a, ok := ev.(forkhead.Arrival); ok {
+			return []forkhead.Action{forkhead.Offer{Task: a.Task.ID, Machine: 1000}}
+		}
+		return nil
+	}
+	w.say(o, setUp(ref2, "unsafe", ""))
+	if len(only[Dial](w.out)) > 0 || told[forkhead.Outcome](w)[0].Result != forkhead.Moot {
+		t.Error("an offer goes to a host that is not listed")
+	}
+}
+
+// The release of a task comes before its hand-over: its owner is told at once, as its host tells it once. One that its
+// owner ended itself is owed nothing. A task at a host that has gone is over too, however many of them there are.
+func TestHandedOverAfterItsEnd(t *testing.T) {
+	for cause, want := range map[int][]string{16: {"down " + ref2 + " 16"}, 41: {"down " + ref2 + " 41"}, 47: {"down " + ref2 + " 41"}, 31: nil} {
+		w := newWorld(t, nil)
+		o, link := w.placed(ref1)
+		w.step(HostData{link, []byte(fmt.Sprintf(`{"t":"down","ref":"%s","f":{},"c":%d}`+"\n", ref2, cause))})
+		w.want(lines[ToHost](w.out), "ack "+ref2)
+		w.want(lines[ToOwner](w.say(o, hold(ref2, 1))), want...)
+		if len(told[forkhead.HandedOver](w)) > 0 || w.c.refs[ref2] != nil {
+			t.Errorf("cause %d: the task stands", cause)
+		}
+	}
+	w := newWorld(t, nil)
+	o := w.owner()
+	w.step(changedHost(2, 2, platform.Terminated))
+	w.pass(time.Second)
+	for i := range 3 * mostBadLines {
+		ref := fmt.Sprintf("%016x", i+1)
+		w.want(lines[ToOwner](w.say(o, hold(ref, 2))), "down "+ref+" 41")
+	}
+	if w.c.owners[o] == nil {
+		t.Error("an owner is closed for tasks whose host has gone")
+	}
+}
+
+// Handed over twice, on another connection, with its release on the way: one release, on the connection it came on last.
+func TestHandedOverTwice(t *testing.T) {
+	w := newWorld(t, nil)
+	first, second := w.owner(), w.owner()
+	w.want(lines[ToOwner](w.say(first, hold(ref1, 1))))
+	w.pass(100 * time.Millisecond)
+	link := w.c.hosts[1].links[0].id
+	w.step(Dialled{link})
+	w.want(lines[ToOwner](w.step(OwnerData{second, []byte(hold(ref1, 1) + "\n")}, HostData{link, []byte(`{"t":"down","ref":"` + ref1 + `","f":{},"c":16}` + "\n")})),
+		"down "+ref1+" 16")
+	if only[ToOwner](w.out)[0].Owner != second {
+		t.Error("the release goes to the connection before")
+	}
+	if len(told[forkhead.HandedOver](w)) != 1 {
+		t.Error("the module is told twice")
+	}
+	// And once more, behind its release: it is over.
+	w.want(lines[ToOwner](w.say(first, hold(ref1, 1))))
+}
+
+// An attempt is given up and offered to the same host again; the host answers the first and then cuts it, as it was told.
+// Its owner hears that, though the cause is the one of a task that its owner has ended.
+func TestCutByAnEarlierGiveUp(t *testing.T) {
+	w := newWorld(t, nil)
+	o := w.owner()
+	w.next = func(ev forkhead.Event) []forkhead.Action {
+		switch ev := ev.(type) {
+		case forkhead.Arrival:
+			return []forkhead.Action{forkhead.Offer{Task: ev.Task.ID, Machine: 1}}
+		case forkhead.TimerFired:
+			return []forkhead.Action{forkhead.Withdraw{Task: 1, Attempt: 0}}
+		case forkhead.Outcome:
+			if ev.Attempt == 0 {
+				return []forkhead.Action{forkhead.Offer{Task: ev.Task, Machine: 1}}
+			}
+		}
+		return nil
+	}
+	w.say(o, setUp(ref1, "keyed", ""))
+	w.want(lines[ToHost](w.dials()), "new "+ref1)
+	w.c.timers.Set(w.now, timer{id: 7})
+	w.want(lines[ToHost](w.step()), "down "+ref1+" 16", "new "+ref1)
+	link := only[ToHost](w.out)[0].Link
+	up := `{"t":"up","ref":"` + ref1 + `","f":{},"d":"x"}` + "\n"
+	w.want(lines[ToOwner](w.step(HostData{link, []byte(up)})), "up "+ref1)
+	w.want(lines[ToOwner](w.step(HostData{link, []byte(`{"t":"down","ref":"` + ref1 + `","f":{},"c":31}` + "\n")})), "down "+ref1+" 41")
+	w.want(lines[ToHost](w.step(HostData{link, []byte(up)})), "down "+ref1+" 16") // the second stands for nobody
+	w.want(lines[ToOwner](w.out))
+}
+
+// In one step: a deadline and the answer, the deadline and a refusal, a refusal and the end of its connection, the owner's
+// give-up and the answer, in both orders. One final answer each, and no task is left standing for nobody.
+func TestTwoEventsInOneStep(t *testing.T) {
+	up := `{"t":"up","ref":"` + ref1 + `","f":{},"d":"x"}` + "\n"
+	full := `{"t":"down","ref":"` + ref1 + `","f":{},"c":34}` + "\n"
+	leave := `{"t":"down","ref":"` + ref1 + `","f":{},"c":16}` + "\n"
+	for name, c := range map[string]struct {
+		in    func(o, link uint64) []Input
+		late  bool // at the deadline
+		owner string
+		host  string
+	}{
+		"answer, deadline":  {func(o, link uint64) []Input { return []Input{HostData{link, []byte(up)}} }, true, "up", ""},
+		"refusal, deadline": {func(o, link uint64) []Input { return []Input{HostData{link, []byte(full)}} }, true, "down 34", "ack"},
+		"refusal, end":      {func(o, link uint64) []Input { return []Input{HostData{link, []byte(full)}, LinkGone{link}} }, false, "down 34", "ack"},
+		"end, refusal":      {func(o, link uint64) []Input { return []Input{LinkGone{link}, HostData{link, []byte(full)}} }, false, "down 47", ""},
+		"answer, end":       {func(o, link uint64) []Input { return []Input{HostData{link, []byte(up)}, LinkGone{link}} }, false, "up", ""},
+		"answer, give-up":   {func(o, link uint64) []Input { return []Input{HostData{link, []byte(up)}, OwnerData{o, []byte(leave)}} }, false, "up ack", "down 16"},
+		"give-up, answer":   {func(o, link uint64) []Input { return []Input{OwnerData{o, []byte(leave)}, HostData{link, []byte(up)}} }, false, "ack", "down 16 down 16"},
+		"give-up, refusal": {func(o, link uint64) []Input {
+			return []Input{OwnerData{o, []byte(leave)}, HostData{link, []byte(full)}}
+		}, false, "ack", "down 16 ack"},
+		"refusal, give-up": {func(o, link uint64) []Input {
+			return []Input{HostData{link, []byte(full)}, OwnerData{o, []byte(leave)}}
+		}, false, "ack", "ack"},
+		"two answers":          {func(o, link uint64) []Input { return []Input{HostData{link, []byte(up + up)}} }, false, "up", ""},
+		"answer, end of owner": {func(o, link uint64) []Input { return []Input{HostData{link, []byte(up)}, OwnerGone{o}} }, false, "up", ""},
+		"end of owner, answer": {func(o, link uint64) []Input { return []Input{OwnerGone{o}, HostData{link, []byte(up)}} }, false, "", "down 16 down 16"},
+	} {
+		w := newWorld(t, nil)
+		o := w.owner()
+		first := w.next
+		w.next = func(ev forkhead.Event) []forkhead.Action {
+			switch ev := ev.(type) {
+			case forkhead.Outcome:
+				if ev.Final {
+					return nil
+				}
+				if ev.Result == forkhead.Full || ev.Result == forkhead.TimedOut {
+					return []forkhead.Action{forkhead.Refuse{Task: ev.Task}}
+				}
+				return []forkhead.Action{forkhead.Fail{Task: ev.Task}}
+			}
+			return first(ev)
+		}
+		w.say(o, setUp(ref1, "keyed", ""))
+		link := only[ToHost](w.dials())[0].Link
+		if c.late {
+			w.now += 1500 * time.Millisecond
+		}
+		w.step(c.in(o, link)...)
+		short := func(all []string) string {
+			return strings.ReplaceAll(strings.Join(all, " "), " "+ref1, "")
+		}
+		if got := short(lines[ToOwner](w.out)); got != c.owner {
+			t.Errorf("%s: the owner is told %q, want %q", name, got, c.owner)
+		}
+		if got := short(lines[ToHost](w.out)); got != c.host {
+			t.Errorf("%s: the host is told %q, want %q", name, got, c.host)
+		}
+	}
+}
+
+// Where tests are not allowed, an idle connection that tasks need is replaced, not tested.
+func TestIdleWithoutTests(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		w := newWorld(t, func(cfg *Config) { cfg.Settings.MayProbe = may })
+		_, link := w.placed(ref1)
+		tests, notes := 0, 0
+		w.live(2*time.Minute, func(d Dial) Input { return Dialled{d.Link} }, func() {
+			for _, line := range lines[ToHost](w.out) {
+				if strings.HasPrefix(line, "hb") {
+					tests++
+				}
+			}
+			if l := w.c.hosts[1].best(); l != nil && w.now%(500*time.Millisecond) < 10*time.Millisecond { // its host is heard
+				l.host.heardAt = w.now
+				notes++
+			}
+			if len(w.c.hosts[1].links) == 0 {
+				t.Fatal("no connection is left to a host with tasks")
+			}
+		})
+		if may && tests == 0 || !may && tests > 0 {
+			t.Errorf("tests allowed %v: %d tests", may, tests)
+		}
+		if !may && w.c.links[link] != nil {
+			t.Error("an idle connection stays for ever")
+		}
+	}
+}
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -29,6 +29,7 @@
 	links   []*link
 
 	heardAt  time.Duration // the last byte of it, or a connection was made
+	awaited  time.Duration // known by an owner's word since then, and not listed yet; 0: it is listed
 	failedAt time.Duration // a connection to it was not made, and that was not for want of descriptors here
 	redialAt time.Duration
 	rest     time.Duration
@@ -49,6 +50,7 @@
 	waiting []*try // for it to open
 	hello   bool   // a probe waits for it to open
 	test    bool   // it is made to see whether a silent host takes a connection
+	renew   bool   // it is made to take the place of an idle one, where tests are not allowed
 }
 
 // probe is a test that the module asked for.
@@ -61,6 +63,11 @@
 
 func (h *host) guarded() *guard.Host { return &h.seenAs }
 
+// renewing says whether a connection is being made that is to take the place of an idle one.
+func (h *host) renewing() bool {
+	return slices.ContainsFunc(h.links, func(l *link) bool { return l.renew && !l.open })
+}
+
 func (h *host) standing() bool {
 	for _, t := range h.tries {
 		if t.stands() {
@@ -185,7 +192,13 @@
 	for _, t := range waiting {
 		c.write(t)
 	}
-	if l.test && l.out == 0 && len(h.links) > 1 {
+	if l.renew {
+		for _, old := range slices.Clone(h.links) {
+			if old != l && old.open && old.out == 0 {
+				c.cut(old)
+			}
+		}
+	} else if l.test && l.out == 0 && len(h.links) > 1 {
 		// It has shown that the host is up. Guards against connections that heap up to hosts with little to say.
 		c.cut(l)
 	}
@@ -328,6 +341,8 @@
 		c.do(ToHost{Link: l.id, Line: platform.Append(nil, platform.Heard, m.Ref, platform.NoCause, nil)})
 		if t != nil {
 			c.hostRelease(t, m)
+		} else {
+			c.releases.add(release{givenUp{h.number, m.Ref}, endCause(m.Cause)})
 		}
 	case platform.Heard:
 		if t != nil && t.req.phase == ending {
@@ -381,11 +396,36 @@
 	c.event(forkhead.Bound{Task: r.id, Attempt: t.number, Machine: forkhead.MachineID(t.host.number), Took: c.now - t.at})
 }
 
+// endCause is the cause of the end of a task that stood: CauseOK, CauseMoved or CauseReset.
+func endCause(cause int) int {
+	if cause == platform.CauseOK || cause == platform.CauseMoved {
+		return cause
+	}
+	return platform.CauseReset
+}
+
+// early says whether a host has told the end of a task before its owner handed it over here. It guards against a task that
+// stands for ever, as its host tells the end once.
+func (c *Core) early(h *host, ref string) (over bool, cause int) {
+	for _, cause := range []int{platform.CauseOK, platform.CauseReset, platform.CauseMoved} {
+		if c.releases.holds(release{givenUp{h.number, ref}, cause}) {
+			return true, cause
+		}
+	}
+	return false, 0
+}
+
 func (c *Core) hostRelease(t *try, m *platform.Message) {
 	why := reason(m)
 	report := c.report(m)
 	if t.phase() == attempt.Placed {
-		c.finish(t, m.Cause, why, report)
+		cause := m.Cause
+		if cause == platform.CauseMoved && t.req.phase == standing && c.ended.holds(givenUp{t.host.number, t.req.ref}) {
+			// Neither was it moved nor did its owner end it: our giving up of an earlier attempt here has cut it. Guards
+			// against a task that its owner takes for standing.
+			cause = platform.CauseReset
+		}
+		c.finish(t, cause, why, report)
 		return
 	}
 	if t.phase() != attempt.Out {
@@ -592,7 +632,7 @@
 	}
 	if f.Whole {
 		for _, h := range c.sorted() {
-			if !listed[h.number] && h.entry.State != forkhead.Gone {
+			if !listed[h.number] && h.entry.State != forkhead.Gone && h.awaited == 0 {
 				e := h.entry
 				e.State = forkhead.Gone
 				c.entry(h, e, h.address)
@@ -602,8 +642,25 @@
 	return entries
 }
 
+// unlisted notes a host that an owner names before the list does; nil: there are too many.
+func (c *Core) unlisted(number uint32, name string) *host {
+	if c.waited >= mostUnlisted {
+		return nil
+	}
+	c.waited++
+	h := &host{number: number, name: name, tries: map[string]*try{}, awaited: c.now}
+	h.entry = forkhead.Machine{ID: forkhead.MachineID(number), State: forkhead.Draining, Zone: -1, Cell: -1}
+	h.seenAs = guard.Host{ID: attempt.Host(number), State: forkhead.Draining, Zone: -1, Cell: -1}
+	c.hosts[number] = h
+	return h
+}
+
 // entry takes what the list says of a host now.
 func (c *Core) entry(h *host, e forkhead.Machine, address string) {
+	if h.awaited > 0 {
+		h.awaited = 0
+		c.waited--
+	}
 	if e.State != forkhead.Ready && (h.entry.State == forkhead.Ready || h.since == 0) {
 		h.since = c.now
 	}
@@ -659,12 +716,18 @@
 			c.logf("%s: a connection is closed: a message did not end", h.name)
 			c.cut(l)
 		case l.open && l.out == 0 && c.cfg.Idle > 0 && c.now > max(l.usedAt, l.heardAt)+c.cfg.Idle*3/5:
-			if h.best() == l && len(h.links) == 1 && h.standing() {
+			needed := len(h.links) == 1 && h.standing()
+			switch {
+			case !needed && !(h.renewing() && h.standing()):
+				c.cut(l)
+			case needed && c.set.MayProbe:
 				// A host that drains takes no new connection, and says what becomes of its tasks on this one.
 				l.usedAt = c.now
 				c.do(ToHost{Link: l.id, Line: platform.Append(nil, platform.Test, c.testRef(), 0, nil)})
-			} else {
-				c.cut(l)
+			case needed && c.now >= h.redialAt:
+				if fresh := c.dial(h); fresh != nil {
+					fresh.renew = true
+				}
 			}
 		}
 	}
@@ -680,6 +743,16 @@
 	for _, t := range h.triesThat(func(t *try) bool { return t.req.phase == ending && c.now > t.endBy }) {
 		c.finish(t, platform.CauseMoved, forkhead.NoReason, nil)
 	}
+	if h.awaited > 0 {
+		if c.now > h.awaited+awaitListed {
+			c.lose(h, "the change log does not list it")
+		}
+		if len(h.tries) == 0 {
+			c.waited--
+			delete(c.hosts, h.number)
+		}
+		return
+	}
 	if h.entry.State == forkhead.Gone {
 		if c.now > h.goneAt+goneAfter {
 			c.lose(h, "the change log says that it is gone")
--- a/internal/placing/node/owners.go
+++ b/internal/placing/node/owners.go
@@ -306,14 +306,29 @@
 	return r
 }
 
-// handedOver takes a task that a host holds already.
+// handedOver takes a task that a host holds already. One that is over by what its host or the list has said is released at
+// once; a host that is not listed is waited for, as the list may be late.
 func (c *Core) handedOver(o *owner, m *platform.Message, task forkhead.Task, at string, digest uint64) {
 	number, ok := platform.HostNumber(at)
 	h := c.hosts[number]
-	if !ok || h == nil || h.name != at || h.entry.State == forkhead.Gone {
+	if ok && h == nil {
+		h = c.unlisted(number, at)
+	}
+	if !ok || h == nil || h.name != at {
 		c.turnDown(o, m.Ref) // no such host can hold it
 		return
 	}
+	over, cause := c.early(h, m.Ref)
+	if h.entry.State == forkhead.Gone && c.now > h.goneAt+goneAfter {
+		over, cause = true, platform.CauseReset
+	}
+	if over {
+		o.spoke = true
+		if cause != platform.CauseMoved {
+			c.do(ToOwner{o.id, platform.Append(nil, platform.Release, m.Ref, cause, nil)})
+		}
+		return
+	}
 	o.spoke = true
 	for _, t := range h.tries {
 		if t.req.task.Key == task.Key && t.phase() == attempt.Placed {
