Connections are half-closed first, and lives under drawn settings judge the five rules

Cause found by reading: a connection made as a test was closed the moment it opened, and idle ones were closed outright; a host sends releases on any open connection and on the next that opens, and takes them for told. retire() writes no more, reads until the host closes too, for 1 s at most, and does not acknowledge what it can no longer answer. proving/nodelives plays several pure cores over hosts, a late list, cut and spoilt connections, kills; settings drawn by rapid.

--- a/internal/placing/node/api.go
+++ b/internal/placing/node/api.go
@@ -40,6 +40,8 @@
 	streamsEach   = 32                    // attempts out on one connection
 	mostGivenUp   = 4096                  // attempts remembered after they were given up, and releases of unknown tasks
 	mostUnlisted  = 1024                  // hosts that hold tasks by their owners' word and that the list does not have yet
+	mostRetired   = 4                     // connections to hosts that are being closed, beyond the room for others
+	retireFor     = time.Second           // and are read for so long at most
 	mostOwed      = 1024                  // messages that wait for a connection of owners
 	overtaken     = 50 * time.Millisecond // an answer to a later offer by so much shows that a connection is dead
 	wholeLine     = 2 * time.Second
@@ -142,6 +144,8 @@
 	}
 	// CloseLink closes a host's connection, or stops making it.
 	CloseLink struct{ Link uint64 }
+	// FinishLink writes nothing more to a host and reads on until it closes.
+	FinishLink struct{ Link uint64 }
 	// ToPlacer sends a message to another placer or to forkhead.Everyone.
 	ToPlacer struct {
 		To   int
@@ -163,6 +167,7 @@
 func (Dial) output()       {}
 func (ToHost) output()     {}
 func (CloseLink) output()  {}
+func (FinishLink) output() {}
 func (ToPlacer) output()   {}
 func (Deafen) output()     {}
 func (Ended) output()      {}
--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -39,6 +39,7 @@
 	waited   int               // hosts that are not listed and hold tasks
 	hosts    map[uint32]*host  // by number
 	links    map[uint64]*link  // all connections to hosts
+	retired  []*link           // those of them that are being closed
 	lastLink uint64
 	lastTest uint64
 	seq      uint64 // of the change log
@@ -375,7 +376,7 @@
 		return
 	}
 	if t.phase() == attempt.Out {
-		if t.link != nil {
+		if t.link != nil && c.set.MayWithdraw {
 			c.do(ToHost{Link: t.link.id, Line: giveUpLine(t.req.ref), GivesUp: true})
 		}
 		c.ended.add(givenUp{t.host.number, t.req.ref})
@@ -396,6 +397,11 @@
 	if r == nil || r.phase != open {
 		return
 	}
+	if !c.set.MayWithdraw {
+		// An attempt that may not be called off is out until its owner gives up, which is when the module answers: nothing
+		// more is waited for, and its host is told nothing.
+		c.giveUpAll(r, forkhead.Withdrawn, true)
+	}
 	if veto := guard.MayAnswer(&r.ask, refuse); veto != nil {
 		c.defect("an answer to task %d is vetoed: %v", id, veto)
 		c.giveUpAll(r, forkhead.Withdrawn, true)
@@ -493,6 +499,7 @@
 		cause = platform.CauseReset
 	}
 	c.fell(r)
+	c.releases.add(release{givenUp{t.host.number, r.ref}, platform.CauseMoved}) // a hand-over that comes now is owed nothing
 	if r.phase == standing && cause != platform.CauseMoved {
 		c.tell(r, platform.Append(nil, platform.Release, r.ref, cause, nil))
 	}
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -46,11 +46,12 @@
 	lines   stream
 	heardAt time.Duration
 	usedAt  time.Duration
-	out     int    // attempts
-	waiting []*try // for it to open
-	hello   bool   // a probe waits for it to open
-	test    bool   // it is made to see whether a silent host takes a connection
-	renew   bool   // it is made to take the place of an idle one, where tests are not allowed
+	out     int           // attempts
+	waiting []*try        // for it to open
+	hello   bool          // a probe waits for it to open
+	test    bool          // it is made to see whether a silent host takes a connection
+	retired time.Duration // it is being closed since then, and only read; 0: it is not
+	renew   bool          // it is made to take the place of an idle one, where tests are not allowed
 }
 
 // probe is a test that the module asked for.
@@ -134,14 +135,14 @@
 // those that are kept. It guards against descriptors that run out, where neither hosts nor owners nor the change log could
 // be reached any more.
 func (c *Core) roomFor(h *host) bool {
-	if len(c.links) < c.cfg.Links && len(c.links)+len(c.owners) < c.cfg.Room {
+	if c.used() < c.cfg.Links && c.used()+len(c.owners) < c.cfg.Room {
 		return true
 	}
 	if l := c.spareLink(h); l != nil {
 		c.spare(l)
 		return true
 	}
-	if o := c.spareOwner(); o != nil && len(c.links) < c.cfg.Links && len(c.owners) > c.cfg.Kept {
+	if o := c.spareOwner(); o != nil && c.used() < c.cfg.Links && len(c.owners) > c.cfg.Kept {
 		c.hangUp(o)
 		return true
 	}
@@ -154,7 +155,7 @@
 	var best *link
 	needed, bestAt := false, time.Duration(0)
 	for _, l := range c.links {
-		if !l.open || l.out > 0 || l.host == but {
+		if !l.open || l.out > 0 || l.host == but || l.retired > 0 {
 			continue
 		}
 		at := max(l.usedAt, l.heardAt)
@@ -172,7 +173,24 @@
 	if len(l.host.links) == 1 {
 		l.host.redialAt = max(l.host.redialAt, c.now+quietAfter)
 	}
-	c.cut(l)
+	c.retire(l)
+}
+
+// used is how many connections to hosts count against the room: all but a few that are being closed.
+func (c *Core) used() int { return len(c.links) - min(len(c.retired), mostRetired) }
+
+// retire closes an idle connection so that what its host is just saying on it is still heard: this end says that it writes
+// no more, and reads until the other end closes too, or for a while. It guards against releases and notes that cross the
+// close: a host takes what it has written for told.
+func (c *Core) retire(l *link) {
+	if len(c.retired) >= mostRetired && (len(c.links)+len(c.owners) >= c.cfg.Room || len(c.links) >= c.cfg.Links) {
+		c.cut(l)
+		return
+	}
+	l.retired = c.now
+	c.retired = append(c.retired, l)
+	l.host.links = slices.DeleteFunc(l.host.links, func(o *link) bool { return o == l })
+	c.do(FinishLink{l.id})
 }
 
 func (c *Core) dialled(id uint64) {
@@ -195,12 +213,12 @@
 	if l.renew {
 		for _, old := range slices.Clone(h.links) {
 			if old != l && old.open && old.out == 0 {
-				c.cut(old)
+				c.retire(old)
 			}
 		}
 	} else if l.test && l.out == 0 && len(h.links) > 1 {
 		// It has shown that the host is up. Guards against connections that heap up to hosts with little to say.
-		c.cut(l)
+		c.retire(l)
 	}
 }
 
@@ -248,6 +266,9 @@
 func (c *Core) drop(l *link) {
 	delete(c.links, l.id)
 	l.host.links = slices.DeleteFunc(l.host.links, func(o *link) bool { return o == l })
+	if l.retired > 0 {
+		c.retired = slices.DeleteFunc(c.retired, func(o *link) bool { return o == l })
+	}
 }
 
 // unlink is the end of a connection: what was out on it may have run.
@@ -330,15 +351,20 @@
 	case platform.Answer:
 		switch {
 		case t == nil:
-			if c.ended.holds(givenUp{h.number, m.Ref}) {
+			if best := h.best(); c.ended.holds(givenUp{h.number, m.Ref}) && (l.retired == 0 || best != nil) {
 				// It was given up and stands all the same: nobody would ever end it.
+				if l.retired > 0 {
+					l = best
+				}
 				c.cancel(l, m.Ref)
 			}
 		case t.phase() == attempt.Out:
 			c.bound(t, m)
 		}
 	case platform.Release:
-		c.do(ToHost{Link: l.id, Line: platform.Append(nil, platform.Heard, m.Ref, platform.NoCause, nil)})
+		if l.retired == 0 { // else its host says it once more on the next connection
+			c.do(ToHost{Link: l.id, Line: platform.Append(nil, platform.Heard, m.Ref, platform.NoCause, nil)})
+		}
 		if t != nil {
 			c.hostRelease(t, m)
 		} else {
@@ -676,7 +702,10 @@
 	}
 	if address != "" && address != h.address || e.State == forkhead.Gone {
 		for _, l := range slices.Clone(h.links) {
-			if e.State != forkhead.Gone || l.out == 0 {
+			switch {
+			case l.open && l.out == 0:
+				c.retire(l)
+			case e.State != forkhead.Gone:
 				c.cut(l)
 			}
 		}
@@ -694,6 +723,11 @@
 
 func (c *Core) tend() {
 	c.tendOwners()
+	for _, l := range slices.Clone(c.retired) {
+		if c.now > l.retired+retireFor {
+			c.cut(l)
+		}
+	}
 	for _, h := range c.sorted() {
 		c.tendHost(h)
 	}
@@ -719,7 +753,7 @@
 			needed := len(h.links) == 1 && h.standing()
 			switch {
 			case !needed && !(h.renewing() && h.standing()):
-				c.cut(l)
+				c.retire(l)
 			case needed && c.set.MayProbe:
 				// A host that drains takes no new connection, and says what becomes of its tasks on this one.
 				l.usedAt = c.now
--- a/internal/placing/node/owners.go
+++ b/internal/placing/node/owners.go
@@ -73,7 +73,7 @@
 // became of their tasks could then be told nowhere.
 func (c *Core) accepted(id uint64) {
 	full := len(c.owners) >= c.cfg.Owners
-	if !full && len(c.owners)+len(c.links) >= c.cfg.Room {
+	if !full && len(c.owners)+c.used() >= c.cfg.Room {
 		l := c.spareLink(nil)
 		if full = l == nil; !full {
 			c.spare(l)
@@ -252,6 +252,14 @@
 	digest := digestOf(m)
 	if r := c.refs[m.Ref]; r != nil {
 		switch {
+		case at != "" && r.task.Key == task.Key && r.phase != over:
+			// It names what stands here already, or what is about to: nothing is owed but its release, on this connection.
+			// Guards against releasing a task that stands, as the set-up differs from the one that it was placed by.
+			if o.spoke = true; r.phase == standing {
+				c.fell(r)
+				r.owner = o.id
+				c.stood(r)
+			}
 		case r.digest == digest && (r.phase == open || r.phase == standing):
 			// The same again: its connection was closed, or it is being closed.
 			if r.phase == standing {
--- /dev/null
+++ b/internal/proving/nodelives/ends.go
@@ -0,0 +1,495 @@
+package nodelives
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"forkhead"
+	"forkhead/internal/placing/node"
+	"forkhead/internal/protocol/platform"
+)
+
+// ask is one set-up of an owner.
+type ask struct {
+	ref      string
+	p        *placer
+	life     int
+	class    int
+	service  uint64
+	cores    float64
+	at       time.Duration
+	wait     time.Duration
+	owner    *owner
+	conn     uint64
+	leaving  bool // its owner has given it up, which may not have come to the placer
+	left     bool // and has
+	answer   string
+	final    string // the release
+	attempts []*attempt
+}
+
+func (a *ask) line(at string) string {
+	w := a.p.w
+	tenant := ""
+	if n := len(w.Names.Tenants); n > 0 {
+		tenant = fmt.Sprintf(`"tenant":%q,`, w.Names.Tenants[int(a.service)%n])
+	}
+	return fmt.Sprintf(`{"t":"new","ref":"%s","f":{"class":%q,%s"left":"%d","key":"%s","idem":"i%s","extras":"cores:%g;memory:%g;service:%016x%s"},"d":"x"}`,
+		a.ref, w.Names.Classes[a.class], tenant, a.wait.Milliseconds(), a.ref, a.ref, a.cores, a.cores, a.service, at)
+}
+
+// attempt is one offer as it was written; what its placer has been told of it is noted as it is delivered.
+type attempt struct {
+	ask   *ask
+	host  *host
+	conn  *conn
+	at    time.Duration
+	never bool // told that it never ran
+	over  bool // told that it is over, given up, or its connection is gone
+	up    bool // told that it stands
+	// At the host.
+	stands bool
+	done   bool
+	cause  int
+}
+
+// owner is a connection of an owner to a placer.
+type owner struct {
+	p    *placer
+	id   uint64
+	life int
+	open bool
+	busy time.Duration
+}
+
+func (o *owner) send(line string) {
+	o.p.in(o.life, &o.busy, func() {
+		if o.open {
+			o.p.step(node.OwnerData{Owner: o.id, Data: []byte(line + "\n")})
+		}
+	})
+}
+
+func (o *owner) close() {
+	o.p.in(o.life, &o.busy, func() {
+		if o.open {
+			o.open = false
+			for _, a := range o.p.w.asks {
+				if a.owner == o && a.answer == "" && a.life == o.life {
+					a.left = true
+					o.p.w.report.GaveUp++
+				}
+			}
+			o.p.step(node.OwnerGone{Owner: o.id})
+		}
+	})
+}
+
+// placer is one placer, life after life.
+type placer struct {
+	w      *world
+	n      int
+	life   int
+	core   *node.Core
+	wake   time.Duration
+	owners map[uint64]*owner
+	links  map[uint64]*conn
+	heard  time.Duration
+	deaf   time.Duration
+	told   map[uint32]told // of hosts
+	seq    uint64
+}
+
+type told struct {
+	state string
+	at    time.Duration
+}
+
+func (p *placer) conns() []*conn {
+	var all []*conn
+	for _, c := range p.links {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *conn) int { return int(a.id) - int(b.id) })
+	return all
+}
+
+// in delivers something to this life of the placer after the way's delay, in the order of one connection.
+func (p *placer) in(life int, busy *time.Duration, do func()) {
+	at := max(*busy, p.w.now+p.w.delay())
+	*busy = at
+	p.w.todo.Set(at, func() {
+		if p.life == life && p.core != nil {
+			do()
+		}
+	})
+}
+
+func (p *placer) start() {
+	if p.core != nil {
+		return
+	}
+	p.life++
+	p.owners, p.links, p.told = map[uint64]*owner{}, map[uint64]*conn{}, map[uint32]told{}
+	set := p.w.Settings
+	set.Placers, set.Self = len(p.w.placers), p.n
+	if p.w.Placers > set.Placers {
+		set.Placers = p.w.Placers
+	}
+	room := max(p.w.Room, 8)
+	core, err := node.New(node.Config{
+		Settings: set, Names: p.w.Names, Idle: p.w.Idle, Seed: p.w.Seed + uint64(p.life), Known: slices.Clone(p.w.events),
+		Owners: room * 2 / 3, Kept: room / 3, Links: room - room/3, Room: room,
+	})
+	if err != nil {
+		p.w.breach("a core does not start: %v", err)
+		return
+	}
+	p.core = core
+	for _, ch := range p.w.events {
+		p.note(ch)
+	}
+	p.step()
+	// What stands here is handed over by its owners.
+	life := p.life
+	p.w.at(200*time.Millisecond, func() {
+		if p.life != life || p.core == nil {
+			return
+		}
+		for _, ref := range sortedRefs(p.w.asks) {
+			a := p.w.asks[ref]
+			if a.p == p && a.answer == platform.Answer && a.final == "" {
+				t := a.standing()
+				if t == nil {
+					continue
+				}
+				if a.life != life && t.done && !t.host.owes(t) {
+					a.final = "lost" // with its host: owners hand over what a host holds
+					p.w.report.Lost++
+					continue
+				}
+				a.life, a.owner = life, p.owner()
+				a.owner.send(a.line(fmt.Sprintf(";at:%s", t.host.name())))
+				p.w.report.HandedOver++
+			}
+		}
+	})
+}
+
+func sortedRefs(asks map[string]*ask) []string {
+	var all []string
+	for ref := range asks {
+		all = append(all, ref)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// standing is the attempt that its placer was told of.
+func (a *ask) standing() *attempt {
+	for _, t := range a.attempts {
+		if t.up {
+			return t
+		}
+	}
+	return nil
+}
+
+func (p *placer) kill() {
+	p.w.report.Kills++
+	conns := p.conns()
+	p.core, p.life = nil, p.life+1
+	for _, c := range conns {
+		c.lost()
+	}
+	for _, a := range p.w.asks {
+		if a.p == p && a.answer == "" {
+			a.left = true // nobody owes it any more
+		}
+	}
+}
+
+// owner returns one of a few connections, which it opens.
+func (p *placer) owner() *owner {
+	id := uint64(1 + p.w.rng.IntN(4))
+	if o := p.owners[id]; o != nil && o.open {
+		return o
+	}
+	o := &owner{p: p, id: uint64(len(p.owners)) + 100*uint64(p.life) + 1000*id, life: p.life, open: true}
+	p.owners[id], p.owners[o.id] = o, o
+	p.in(p.life, &o.busy, func() { p.step(node.Accepted{Owner: o.id}) })
+	return o
+}
+
+func (p *placer) hear(ch platform.Change) {
+	if p.core == nil {
+		return // it reads the list when it starts
+	}
+	p.in(p.life, &p.heard, func() {
+		if p.w.now < p.deaf {
+			p.w.todo.Set(p.deaf, func() { p.hear(ch) })
+			return
+		}
+		if ch.Seq != p.seq+1 {
+			if ch.Seq > p.seq {
+				p.w.at(10*time.Millisecond, func() { p.hear(ch) })
+			}
+			return
+		}
+		p.note(ch)
+		p.step(node.Changed{Change: ch})
+	})
+}
+
+// note is what the placer has been told from now on.
+func (p *placer) note(ch platform.Change) {
+	p.seq = ch.Seq
+	for _, h := range ch.Fleet.Hosts {
+		n, _ := platform.HostNumber(h.Name)
+		if p.told[n].state != h.State {
+			p.told[n] = told{h.State, p.w.now}
+		}
+	}
+}
+
+func (p *placer) step(in ...node.Input) {
+	if p.core == nil {
+		return
+	}
+	p.w.report.Steps++
+	out := p.core.Step(p.w.now, in...)
+	for _, o := range out {
+		if p.w.Spoil == nil {
+			p.carry(o)
+			continue
+		}
+		for _, o := range p.w.Spoil(o) {
+			p.carry(o)
+		}
+	}
+	at, life := max(p.core.Next(), p.w.now+time.Microsecond), p.life
+	p.wake = at
+	p.w.todo.Set(at, func() {
+		if p.life == life && p.wake == at {
+			p.step()
+		}
+	})
+}
+
+func (p *placer) carry(o node.Output) {
+	w := p.w
+	switch o := o.(type) {
+	case node.Dial:
+		p.dial(o)
+	case node.ToHost:
+		if c := p.links[o.Link]; c != nil {
+			m, err := platform.Decode(bytes.TrimSuffix(o.Line, []byte("\n")))
+			if err != nil {
+				w.breach("a host is sent what cannot be read: %s", o.Line)
+				return
+			}
+			if m.Type == platform.New {
+				p.offered(c, &m)
+			} else if m.Type == platform.Release {
+				p.cancelled(c.host, m.Ref)
+			}
+			c.toHost(m)
+		}
+	case node.CloseLink:
+		if c := p.links[o.Link]; c != nil {
+			c.lost()
+		}
+	case node.FinishLink:
+		if c := p.links[o.Link]; c != nil && c.made {
+			w.at(w.delay(), c.reset) // its host closes too, behind what it has said
+		}
+	case node.ToOwner:
+		p.answered(o)
+	case node.CloseOwner:
+		for _, x := range p.owners {
+			if x.id == o.Owner {
+				x.open = false
+				for _, a := range w.asks {
+					if a.owner == x && a.answer == "" && a.life == p.life && !a.leaving && w.now > a.at+slack {
+						w.breach("one answer: the connection of %s is closed", a.ref)
+					}
+				}
+			}
+		}
+	case node.ToPlacer:
+		for _, other := range w.placers {
+			if other != p && (o.To == forkhead.Everyone || o.To == other.n) && !w.odds(5) {
+				w.at(w.delay(), func() { other.step(node.Datagram{From: p.n, Data: bytes.Clone(o.Data)}) })
+			}
+		}
+	case node.Logged:
+		if o.Defect {
+			w.breach("defect: %s", o.Text)
+		}
+	}
+}
+
+// ---- The rules, as things are written.
+
+// offered judges a set-up as it is written to a host.
+func (p *placer) offered(c *conn, m *platform.Message) {
+	w := p.w
+	w.report.Offers++
+	a := w.asks[m.Ref]
+	if a == nil {
+		w.breach("an offer of %s, which nobody asked for", m.Ref)
+		return
+	}
+	class := &w.Settings.Classes[a.class]
+	switch {
+	case a.left:
+		w.breach("an offer of %s for an owner that has left", a.ref)
+	case a.answer != "":
+		w.breach("an offer of %s, which is answered", a.ref)
+	case len(a.attempts) >= w.Settings.MaxAttempts:
+		w.breach("attempt %d of %s", len(a.attempts)+1, a.ref)
+	}
+	first := true
+	for _, t := range a.attempts {
+		if !t.over && !t.never {
+			w.breach("no repeat: two attempts of %s are out", a.ref)
+		}
+		if t.never {
+			continue
+		}
+		switch {
+		case class.Effect == forkhead.Unsafe:
+			w.breach("no repeat: %s may have run", a.ref)
+		case class.Effect == forkhead.Keyed && !w.same(class.Group, t.host, c.host):
+			w.breach("no repeat: %s may have run in another group", a.ref)
+		case class.Effect == forkhead.Keyed && first && w.now > t.at+class.Window+slack:
+			w.breach("no repeat: %s may have run %v ago", a.ref, w.now-t.at)
+		}
+		first = false
+	}
+	if told := p.told[uint32(c.host.n)]; told.state != platform.InService && w.now > told.at+w.Settings.DrainGrace+slack {
+		w.breach("drain: an offer to %s, told %s %v ago", c.host.name(), told.state, w.now-told.at)
+	}
+	if class.Spread != forkhead.Anywhere {
+		n := 1
+		for _, other := range w.asks {
+			if other.p != p || other.life != a.life || other.service != a.service || other.class != a.class || other.final != "" || other.left {
+				continue
+			}
+			for _, t := range other.attempts {
+				if !t.over && !t.never && w.same(class.Spread, t.host, c.host) {
+					n++
+				}
+			}
+		}
+		if n > class.Most {
+			w.breach("spread: number %d of service %d of at most %d", n, a.service, class.Most)
+		}
+	}
+	t := &attempt{ask: a, host: c.host, conn: c, at: w.now}
+	a.attempts = append(a.attempts, t)
+	c.open = append(c.open, t)
+}
+
+func (w *world) same(place forkhead.Place, a, b *host) bool {
+	switch place {
+	case forkhead.OnMachine:
+		return a == b
+	case forkhead.InCell:
+		return a.n/3 == b.n/3
+	case forkhead.InZone:
+		return a.zone() == b.zone()
+	}
+	return true
+}
+
+// cancelled notes that a placer has written that it gives up an attempt, or ends a task.
+func (p *placer) cancelled(h *host, ref string) {
+	if a := p.w.asks[ref]; a != nil {
+		for _, t := range a.attempts {
+			if t.host == h && !t.up {
+				t.over = true
+			}
+		}
+	}
+}
+
+// answered judges what an owner is told.
+func (p *placer) answered(o node.ToOwner) {
+	w := p.w
+	m, err := platform.Decode(bytes.TrimSuffix(o.Line, []byte("\n")))
+	if err != nil {
+		w.breach("an owner is sent what cannot be read: %s", o.Line)
+		return
+	}
+	a := w.asks[m.Ref]
+	if a == nil || m.Type == platform.Heard || m.Type == platform.TestResult {
+		return
+	}
+	switch {
+	case m.Type == platform.Answer && a.answer != "":
+		w.breach("one answer: %s is answered a second time", a.ref)
+	case m.Type == platform.Answer:
+		a.answer = m.Type
+		w.report.Placed++
+		if a.standing() == nil {
+			w.breach("one answer: %s is said to stand by no host's word", a.ref)
+		}
+	case m.Type == platform.Move && a.answer != platform.Answer:
+		w.breach("%s is moved and does not stand", a.ref)
+	case m.Type == platform.Move:
+	case a.final != "" || a.answer == platform.Release:
+		w.breach("one answer: %s is released a second time", a.ref)
+	case a.answer == "":
+		a.answer, a.final = m.Type, m.Type
+		if m.Cause == platform.CauseFull || m.Cause == platform.CauseBusy || m.Cause == platform.CauseMoot {
+			w.report.Refused++
+			class := &w.Settings.Classes[a.class]
+			for _, t := range a.attempts {
+				if !t.never && (class.Effect == forkhead.Unsafe || class.Effect == forkhead.Keyed && class.Group != forkhead.Anywhere) {
+					w.breach("no repeat: %s is refused and may have run", a.ref)
+				}
+			}
+		} else {
+			w.report.Failed++
+		}
+	default:
+		a.final = m.Type
+		w.report.Ended++
+	}
+}
+
+// judgeEnd judges what is left when all has come to rest.
+func (w *world) judgeEnd() {
+	for _, ref := range sortedRefs(w.asks) {
+		a := w.asks[ref]
+		if a.answer != platform.Answer || a.final != "" || a.leaving || !a.owner.open || len(w.report.Breaches) > 0 {
+			// Its owner has ended it, or has closed the connection that it would be told on.
+			continue
+		}
+		t := a.standing()
+		if t != nil && t.done && t.cause != platform.CauseMoved && a.p.core != nil {
+			w.breach("one answer: %s is over at its host and its owner takes it for standing", a.ref)
+		}
+	}
+	for _, h := range w.hosts {
+		h.judgeCold()
+	}
+}
+
+// judgeCold judges the offers that came to the host while it was cold.
+func (h *host) judgeCold() {
+	w := h.w
+	w.report.ColdOffers += len(h.cold)
+	bound := w.Settings.ColdOffers + 2*math.Sqrt(w.Settings.ColdOffers) + 2
+	for i, at := range h.cold {
+		first, _ := slices.BinarySearch(h.cold, at-w.Settings.ColdWindow+1)
+		if n := float64(i - first + 1); n > bound {
+			w.breach("cold: %v offers to %s in a window that bears %v", n, h.name(), w.Settings.ColdOffers)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/proving/nodelives/play_test.go
@@ -0,0 +1,171 @@
+package nodelives
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"forkhead"
+	"forkhead/internal/placing/node"
+)
+
+// drawn is a life under settings drawn from what the platform's page allows.
+func drawn(t *rapid.T) Life {
+	num := func(name string, least, most int) int { return rapid.IntRange(least, most).Draw(t, name) }
+	ms := func(name string, least, most int) time.Duration {
+		return time.Duration(num(name+", ms", least, most)) * time.Millisecond
+	}
+	flag := func(name string) bool { return rapid.Bool().Draw(t, name) }
+	l := Life{
+		Placers: num("placers", 1, 5), Hosts: num("hosts", 1, 12), Tasks: num("tasks", 1, 150), Room: num("room", 12, 200),
+		Faults: float64(num("faults, percent", 0, 100)) / 100, Seed: rapid.Uint64().Draw(t, "seed"),
+	}
+	if flag("connections close when idle") {
+		l.Idle = ms("idle", 2000, 60000)
+	}
+	for i := range num("zones", 1, 3) {
+		l.Names.Zones = append(l.Names.Zones, fmt.Sprintf("zone %d: ü/%d", i, i))
+	}
+	for i := range num("kinds", 1, 2) {
+		l.Names.Kinds = append(l.Names.Kinds, fmt.Sprintf("kind\"%d", i))
+		l.Settings.Kinds = append(l.Settings.Kinds, forkhead.Kind{Cores: float64(num("cores", 2, 40)), Memory: float64(num("memory", 2, 40))})
+	}
+	for i := range num("tenants", 0, 3) {
+		l.Names.Tenants = append(l.Names.Tenants, fmt.Sprintf("tenant %d", i))
+		l.Settings.Tenants = append(l.Settings.Tenants, forkhead.Tenant{Share: 0.3, Cores: float64(num("quota", 0, 50))})
+	}
+	for i := range num("classes", 1, 4) {
+		l.Names.Classes = append(l.Names.Classes, strings.Repeat("class ", 1+i*4)+fmt.Sprint(i))
+		c := forkhead.Class{
+			Effect: rapid.SampledFrom([]forkhead.Effect{forkhead.Safe, forkhead.Keyed, forkhead.Unsafe}).Draw(t, "effect"),
+			Group:  rapid.SampledFrom([]forkhead.Place{forkhead.Anywhere, forkhead.InZone, forkhead.InCell}).Draw(t, "group"),
+			Window: ms("window", 200, 8000), Aim: ms("aim", 50, 2000), Worth: float64(num("worth", 0, 9)), Kind: num("kind", -1, len(l.Names.Kinds)-1),
+			Calm: float64(num("calm, percent", 10, 100)) / 100, Fade: float64(num("fade, percent", 0, 100)) / 100, Priority: num("priority", 0, 3),
+			Spread: rapid.SampledFrom([]forkhead.Place{forkhead.Anywhere, forkhead.OnMachine, forkhead.InCell, forkhead.InZone}).Draw(t, "spread"),
+			Most:   num("most", 1, 4),
+		}
+		l.Settings.Classes = append(l.Settings.Classes, c)
+	}
+	s := &l.Settings
+	s.MeanCores, s.MeanMemory = 1, 1
+	s.AcceptCores, s.AcceptMemory = 1+float64(num("accepts cores, percent more", 0, 150))/100, 1+float64(num("accepts memory, percent more", 0, 50))/100
+	s.BoundWhenRunning, s.ServicesStick, s.Preempts = flag("bound when running"), flag("services stick"), flag("preempts")
+	s.ListsFree, s.ListPushed, s.ReportsInAnswers = flag("lists free"), flag("list pushed"), flag("reports in answers")
+	s.MaxAttempts = num("attempts", 1, 5)
+	s.MayWithdraw, s.MayProbe, s.MayTell = flag("may withdraw"), flag("may probe"), flag("may tell")
+	s.DrainGrace = ms("grace", 0, 2000)
+	s.ConnectTimeout = ms("connect time-out", 50, 500)
+	s.ColdFor, s.ColdWindow, s.ColdOffers = ms("cold for", 0, 6000), ms("cold window", 200, 2000), float64(num("cold offers", 0, 40))
+	s.MustAskWithin, s.OwnerWait = 10*time.Second, 3*time.Second
+	return l
+}
+
+// Whatever the settings and whatever goes wrong: the five rules hold on what is written, nothing panics, and all that is
+// taken is answered.
+func TestDrawnSettingsKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Play(drawn(t))
+		for _, b := range r.Breaches {
+			t.Errorf("%s", b)
+		}
+	})
+}
+
+// one is a life with much going on.
+func one(seed uint64) Life {
+	l := Life{Placers: 3, Hosts: 6, Tasks: 150, Room: 100, Faults: 0.6, Seed: seed}
+	l.Names = node.Names{Zones: []string{"a", "b"}, Kinds: []string{"std"}, Classes: []string{"safe", "keyed", "unsafe"}}
+	l.Settings = forkhead.Settings{
+		Kinds: []forkhead.Kind{{Cores: 16, Memory: 16}}, MeanCores: 1, MeanMemory: 1, AcceptCores: 1, AcceptMemory: 1, ListPushed: true,
+		Classes: []forkhead.Class{
+			{Effect: forkhead.Safe, Kind: -1, Worth: 1, Aim: time.Second, Calm: 1},
+			{Effect: forkhead.Keyed, Window: 3 * time.Second, Kind: -1, Worth: 1, Aim: time.Second, Calm: 1, Spread: forkhead.InCell, Most: 2},
+			{Effect: forkhead.Unsafe, Kind: -1, Worth: 1, Aim: time.Second, Calm: 1},
+		},
+		MaxAttempts: 4, MayWithdraw: true, MayProbe: true, DrainGrace: 250 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond,
+		ColdFor: 3 * time.Second, ColdWindow: 500 * time.Millisecond, ColdOffers: 12, MustAskWithin: 10 * time.Second, OwnerWait: time.Second,
+	}
+	return l
+}
+
+// A life has all that it is for, and is the same each time.
+func TestLifeIsFull(t *testing.T) {
+	var sum Report
+	for seed := range uint64(20) {
+		r := Play(one(seed))
+		for _, b := range r.Breaches {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		if again := Play(one(seed)); fmt.Sprint(again) != fmt.Sprint(r) {
+			t.Fatalf("seed %d: %+v, and then %+v", seed, r, again)
+		}
+		sum.Placed, sum.Refused, sum.Failed, sum.GaveUp = sum.Placed+r.Placed, sum.Refused+r.Refused, sum.Failed+r.Failed, sum.GaveUp+r.GaveUp
+		sum.HandedOver, sum.Kills, sum.ColdOffers, sum.Ended = sum.HandedOver+r.HandedOver, sum.Kills+r.Kills, sum.ColdOffers+r.ColdOffers, sum.Ended+r.Ended
+	}
+	if sum.Placed < 500 || sum.Refused == 0 || sum.Failed == 0 || sum.GaveUp == 0 || sum.HandedOver == 0 || sum.Kills == 0 || sum.ColdOffers == 0 || sum.Ended == 0 {
+		t.Errorf("something never happens: %+v", sum)
+	}
+	t.Logf("%+v", sum)
+}
+
+// The judge finds what is planted.
+func TestPlantedFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		spoil func() func(node.Output) []node.Output
+		want  string
+	}{
+		"an answer twice": {func() func(node.Output) []node.Output {
+			return func(o node.Output) []node.Output {
+				if x, ok := o.(node.ToOwner); ok && bytes.Contains(x.Line, []byte(`"up"`)) {
+					return []node.Output{o, o}
+				}
+				return []node.Output{o}
+			}
+		}, "a second time"},
+		"an answer never": {func() func(node.Output) []node.Output {
+			return func(o node.Output) []node.Output {
+				if x, ok := o.(node.ToOwner); ok && bytes.Contains(x.Line, []byte(`"down"`)) {
+					return nil
+				}
+				return []node.Output{o}
+			}
+		}, "has none"},
+		"an offer twice": {func() func(node.Output) []node.Output {
+			return func(o node.Output) []node.Output {
+				if x, ok := o.(node.ToHost); ok && bytes.Contains(x.Line, []byte(`"new"`)) {
+					return []node.Output{o, o}
+				}
+				return []node.Output{o}
+			}
+		}, "two attempts"},
+		"a release kept": {func() func(node.Output) []node.Output {
+			answered := map[string]bool{}
+			return func(o node.Output) []node.Output {
+				if x, ok := o.(node.ToOwner); ok {
+					ref := string(x.Line[bytes.Index(x.Line, []byte(`"ref"`)):][:24])
+					if answered[ref] && bytes.Contains(x.Line, []byte(`"down"`)) {
+						return nil
+					}
+					answered[ref] = answered[ref] || bytes.Contains(x.Line, []byte(`"up"`))
+				}
+				return []node.Output{o}
+			}
+		}, "takes it for standing"},
+	} {
+		found := false
+		for seed := uint64(0); seed < 30 && !found; seed++ {
+			l := one(seed)
+			l.Spoil = c.spoil()
+			for _, b := range Play(l).Breaches {
+				found = found || strings.Contains(b, c.want)
+			}
+		}
+		if !found {
+			t.Errorf("%s is not found", name)
+		}
+	}
+}
--- a/internal/running/netio/netio.go
+++ b/internal/running/netio/netio.go
@@ -69,6 +69,7 @@
 	pending atomic.Int64
 	closed  atomic.Bool
 	closing atomic.Bool // as soon as what is queued has gone out
+	finish  atomic.Bool // its sending side only, likewise
 	once    sync.Once
 
 	mu     sync.Mutex
@@ -128,6 +129,9 @@
 			if c.closing.Load() {
 				go c.Close() // not within its own write
 			}
+			if c.finish.Load() {
+				_ = syscall.Shutdown(nb.Hash(), syscall.SHUT_WR)
+			}
 			if d, ok := c.handler.(Drainer); ok {
 				d.Drained(c)
 			}
@@ -422,6 +426,14 @@
 	time.AfterFunc(most, c.Close)
 }
 
+// CloseWrite tells the other end that nothing more comes, once what is queued has gone out; what it sends is still read.
+func (c *Conn) CloseWrite() {
+	c.finish.Store(true)
+	if c.pending.Load() == 0 && !c.closed.Load() {
+		_ = syscall.Shutdown(c.nb.Hash(), syscall.SHUT_WR)
+	}
+}
+
 // Left says whether the other end has closed its side or reset the connection, though that was not read yet.
 func (c *Conn) Left() bool {
 	if c.closed.Load() {
--- a/internal/running/noded/noded.go
+++ b/internal/running/noded/noded.go
@@ -30,7 +30,7 @@
 	toHost        = 1 << 20   // and a host
 	spareSockets  = 24        // descriptors for all but owners and hosts
 	acceptReserve = 8         // accepted connections that the core has not yet heard of
-	mostLingering = 8         // connections that the core has closed and that are written to the end
+	mostLingering = 4         // connections that the core has closed and that are written to the end
 	lingerFor     = 200 * time.Millisecond
 	lastWords     = 2 * time.Second       // what is still unread by an owner so long after the core has ended is lost
 	drainQuiet    = 20 * time.Millisecond // without a new connection: the accept queue is empty
@@ -291,6 +291,11 @@
 		s.close(s.owners, o.Owner)
 	case node.CloseLink:
 		s.close(s.links, o.Link)
+	case node.FinishLink:
+		if w := s.links[o.Link]; w != nil && w.conn != nil {
+			w.flush()
+			w.conn.CloseWrite()
+		}
 	case node.Dial:
 		s.dial(o)
 	case node.ToPlacer:
