--- a/internal/proving/nodelives/play.go
+++ b/internal/proving/nodelives/play.go
@@ -56,7 +56,6 @@
 	events  []platform.Change
 	asks    map[string]*ask
 	report  Report
-	links   uint64
 	last    int
 	calm    bool // nothing goes wrong any more
 }
--- a/internal/running/noded/crossings_test.go
+++ b/internal/running/noded/crossings_test.go
@@ -298,3 +298,44 @@
 		t.Errorf("%d bytes of %d came, then %v", n, written, err)
 	}
 }
+
+// A host that says what became of a task as the placer closes that connection, idle, is heard.
+func TestReleaseCrossesOurClose(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	const ref = "00000000000000a0"
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						break
+					}
+					if strings.Contains(line, `"t":"new"`) { // it takes the task, and says no more on this connection
+						fmt.Fprintf(c, `{"t":"up","ref":"%s","f":{},"d":"y"}`+"\n", ref)
+					}
+				}
+				if n > 0 { // a connection that was made to see whether the host is up: the placer closes it
+					fmt.Fprintf(c, `{"t":"down","ref":"%s","f":{},"c":16}`+"\n", ref)
+				}
+			}()
+		}
+	}()
+	s := one(t, &standHost{ln: ln})
+	o := newOwner(t, s.Address())
+	o.ask(ref, 5000)
+	until(t, "the release", func() bool {
+		got := o.got(ref)
+		return len(got) == 2 && got[1].Type == platform.Release && got[1].Cause == platform.CauseOK
+	})
+}
