A task that stood and is over before its late answer comes is released, not offered again

Cause: hostRelease took any release before the answer for a set-up that broke on its way, whatever said that the task stood. Test: TestOverBeforeItsAnswer.

--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -254,6 +254,7 @@
 	link   *link // that carries it, or that it waits for
 	at     time.Duration
 	endBy  time.Duration // ending: the host's word is awaited until then
+	noted  bool          // its host has sent notes on it: it stands there, answered or not
 }
 
 func (t *try) phase() attempt.Phase { return t.req.ask.Attempts[t.number].Phase }
--- a/internal/placing/node/crossings_test.go
+++ b/internal/placing/node/crossings_test.go
@@ -280,3 +280,40 @@
 	}
 	w.want(lines[ToHost](w.step(HostData{link, []byte(`{"t":"up","ref":"` + ref1 + `","f":{},"d":"x"}` + "\n")})), "down "+ref1+" 16")
 }
+
+// A task stood at its host and is over before the host's answer has come, which is late: its owner is told at once, and it is
+// not offered to another host. Without a sign that it stood, it is.
+func TestOverBeforeItsAnswer(t *testing.T) {
+	note := `{"t":"tell","ref":"` + ref1 + `","f":{"note":"running","value":"1"}}` + "\n"
+	release := func(cause int, note string) string {
+		return fmt.Sprintf(`{"t":"down","ref":"%s","f":{"note":"%s"},"c":%d}`+"\n", ref1, note, cause)
+	}
+	for name, c := range map[string]struct {
+		said string
+		over bool
+	}{
+		"notes and a reset": {note + release(41, ""), true}, "displaced": {release(41, "displaced"), true}, "killed": {release(41, "killed"), true},
+		"its end": {release(16, ""), true}, "a reset": {release(41, ""), false}, "full": {release(34, "lack_cpu"), false}, "an error": {release(47, ""), false},
+	} {
+		w := newWorld(t, nil)
+		first := w.next
+		w.next = func(ev forkhead.Event) []forkhead.Action {
+			if o, ok := ev.(forkhead.Outcome); ok && !o.Final {
+				return []forkhead.Action{forkhead.Offer{Task: o.Task, Machine: 2}}
+			}
+			return first(ev)
+		}
+		w.say(w.owner(), setUp(ref1, "keyed", ""))
+		link := only[ToHost](w.dials())[0].Link
+		out := w.step(HostData{link, []byte(c.said)})
+		offers := len(only[Dial](out))
+		if got := lines[ToOwner](out); c.over && (len(got) != 1 || got[0] != "down "+ref1+" 41" || offers > 0) || !c.over && (len(got) > 0 || offers != 1) {
+			t.Errorf("%s: the owner is told %q, %d more offers", name, got, offers)
+		}
+		if c.over { // and the answer, when it comes
+			w.step(HostData{link, []byte(`{"t":"up","ref":"` + ref1 + `","f":{},"d":"x"}` + "\n")})
+			w.want(lines[ToOwner](w.out))
+			w.want(lines[ToHost](w.out))
+		}
+	}
+}
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -466,10 +466,28 @@
 	case platform.CauseFailed:
 		c.outcome(t, attempt.Ended, forkhead.Errored, why, false, report)
 	default:
+		if t.noted || stood[why] || m.Cause == platform.CauseOK || m.Cause == platform.CauseMoved {
+			c.overUnanswered(t, why, report)
+			return
+		}
 		c.outcome(t, attempt.Ended, forkhead.Reset, why, false, report)
 	}
 }
 
+// stood are the reasons for which only a task that stands ends.
+var stood = map[forkhead.Reason]bool{forkhead.Evicted: true, forkhead.PushedOut: true, forkhead.SentAway: true}
+
+// overUnanswered ends a request whose task stood at its host and is over, though the host's answer has not come: by notes on
+// it, or by why it ended. What has stood and is over is released towards its owner within a second, so it is not offered
+// once more. It guards against an answer that is late and comes behind its own release.
+func (c *Core) overUnanswered(t *try, why forkhead.Reason, report *forkhead.Report) {
+	r := t.req
+	c.outcome(t, attempt.Ended, forkhead.Reset, why, true, report)
+	r.ask.End(false)
+	c.close(r, over)
+	c.tell(r, platform.Append(nil, platform.Release, r.ref, platform.CauseReset, nil))
+}
+
 var notes = map[string]forkhead.NoteKind{
 	"running": forkhead.NoteRuns, "use_cpu": forkhead.NoteCores, "use_ram": forkhead.NoteMemory, "health": forkhead.NoteServed,
 	"ram_high": forkhead.NotePressure,
@@ -486,6 +504,7 @@
 }
 
 func (c *Core) note(t *try, m *platform.Message) {
+	t.noted = true
 	word, _ := m.Text("note")
 	kind, ok := notes[word]
 	value, _ := m.Text("value")
