--- a/internal/placing/node/bench_test.go
+++ b/internal/placing/node/bench_test.go
@@ -14,7 +14,7 @@
 
 // world is a core under a test's clock, with a scripted module: it offers each task to the host that the test says.
 type world struct {
-	t      *testing.T
+	t      testing.TB
 	c      *Core
 	now    time.Duration
 	seen   []forkhead.Event // what the module was told
@@ -30,7 +30,9 @@
 	}
 }
 
-func newWorld(t *testing.T, change func(*Config)) *world {
+func newWorld(t *testing.T, change func(*Config)) *world { t.Helper(); return newWorldOf(t, change) }
+
+func newWorldOf(t testing.TB, change func(*Config)) *world {
 	t.Helper()
 	w := &world{t: t, now: time.Hour, seq: 1}
 	cfg := Config{
--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -38,6 +38,7 @@
 	releases recent[release]   // that hosts told of tasks which are not known here
 	waited   int               // hosts that are not listed and hold tasks
 	hosts    map[uint32]*host  // by number
+	order    []*host           // the same, sorted; nil: to be made anew
 	links    map[uint64]*link  // all connections to hosts
 	retired  []*link           // those of them that are being closed
 	lastLink uint64
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -622,8 +622,12 @@
 	c.event(forkhead.Update{Mode: forkhead.ListSaved, Machines: all})
 }
 
+// sorted lists the hosts by number. It must not be changed; what is added or forgotten makes it anew.
 func (c *Core) sorted() []*host {
-	return slices.SortedFunc(maps.Values(c.hosts), func(a, b *host) int { return cmp.Compare(a.number, b.number) })
+	if len(c.order) != len(c.hosts) {
+		c.order = slices.SortedFunc(maps.Values(c.hosts), func(a, b *host) int { return cmp.Compare(a.number, b.number) })
+	}
+	return c.order
 }
 
 // changed takes an event of the change log, once.
@@ -663,7 +667,7 @@
 		h := c.hosts[number]
 		if h == nil {
 			h = &host{number: number, name: info.Name, tries: map[string]*try{}}
-			c.hosts[number] = h
+			c.hosts[number], c.order = h, nil
 		}
 		e := forkhead.Machine{
 			ID: forkhead.MachineID(number), State: state, Kind: max(kind, 0), Zone: max(slices.Index(c.cfg.Names.Zones, info.Site), 0),
@@ -696,7 +700,7 @@
 	h := &host{number: number, name: name, tries: map[string]*try{}, awaited: c.now}
 	h.entry = forkhead.Machine{ID: forkhead.MachineID(number), State: forkhead.Draining, Zone: -1, Cell: -1}
 	h.seenAs = guard.Host{ID: attempt.Host(number), State: forkhead.Draining, Zone: -1, Cell: -1}
-	c.hosts[number] = h
+	c.hosts[number], c.order = h, nil
 	return h
 }
 
@@ -803,6 +807,7 @@
 		if len(h.tries) == 0 {
 			c.waited--
 			delete(c.hosts, h.number)
+			c.order = nil
 		}
 		return
 	}
@@ -811,6 +816,7 @@
 			c.lose(h, "the change log says that it is gone")
 			if c.now > h.goneAt+forgetHost && len(h.tries) == 0 && len(h.links) == 0 {
 				delete(c.hosts, h.number)
+				c.order = nil
 			}
 		}
 		return
--- /dev/null
+++ b/internal/placing/node/rest_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"forkhead/internal/protocol/platform"
+)
+
+// BenchmarkStepAtRest is a step that only time brings: 400 hosts, 100 of them with a connection and four standing tasks.
+func BenchmarkStepAtRest(b *testing.B) {
+	w := newWorldOf(b, func(cfg *Config) {
+		cfg.Owners, cfg.Kept, cfg.Links, cfg.Room = 200, 100, 400, 500
+		var infos []platform.HostInfo
+		for n := range 400 {
+			info := hostInfo(n+1, platform.InService)
+			info.Dial = fmt.Sprintf("10.0.%d.%d:1", n/200, n%200)
+			infos = append(infos, info)
+		}
+		cfg.Known[0].Fleet.Hosts = infos
+	})
+	o := w.owner()
+	for n := range 100 {
+		for k := range 4 {
+			w.say(o, hold(fmt.Sprintf("%016x", n*10+k+1), n+1))
+		}
+	}
+	w.now += 100 * time.Millisecond
+	w.step()
+	w.dials()
+	if len(w.c.links) != 100 {
+		b.Fatalf("%d connections", len(w.c.links))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.now += tendEvery
+		for _, h := range w.c.hosts {
+			h.heardAt = w.now
+		}
+		w.step()
+	}
+}
