--- a/internal/running/noded/noded_test.go
+++ b/internal/running/noded/noded_test.go
@@ -390,3 +390,19 @@
 		t.Fatal("it does not end")
 	}
 }
+
+// Connections to hosts and to the change log are given the settings' time.
+func TestConnectTimeoutOfTheSettings(t *testing.T) {
+	h := newHost(t, 0, 1)
+	log := &standLog{cut: make(chan struct{}), events: []string{change(1, true, entry(1, h, "in_service"))}}
+	_, cfg := start(t, log)
+	cfg.Settings = json.RawMessage(strings.Replace(testSettings, `"connectTimeout":250`, `"connectTimeout":700`, 1))
+	s, err := Start(Options{Config: cfg, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Kill()
+	if s.connect != 700*time.Millisecond || s.changes.dial.Timeout != s.connect {
+		t.Errorf("connections are given %v, the change log's %v", s.connect, s.changes.dial.Timeout)
+	}
+}
