Every order of four events around a task is played; a release owed is told at its hand-over

It found: a release that no connection of owners could take was noted as told, and the hand-over of its task on a new connection was owed nothing (finish): TestHandedOverWithItsReleaseOwed.

--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -68,6 +68,7 @@
 }
 
 type owedLine struct {
+	ref  string
 	line []byte
 	by   time.Duration
 }
@@ -501,10 +502,11 @@
 		cause = platform.CauseReset
 	}
 	c.fell(r)
-	c.releases.add(release{givenUp{t.host.number, r.ref}, platform.CauseMoved}) // a hand-over that comes now is owed nothing
-	if r.phase == standing && cause != platform.CauseMoved {
-		c.tell(r, platform.Append(nil, platform.Release, r.ref, cause, nil))
+	known := release{givenUp{t.host.number, r.ref}, platform.CauseMoved} // a hand-over that comes now is owed nothing
+	if r.phase == standing && cause != platform.CauseMoved && !c.tell(r, platform.Append(nil, platform.Release, r.ref, cause, nil)) {
+		known.cause = endCause(cause) // but what could not be told
 	}
+	c.releases.add(known)
 	r.phase = over
 	c.outcome(t, attempt.Ended, result, why, true, report)
 }
--- a/internal/placing/node/crossings_test.go
+++ b/internal/placing/node/crossings_test.go
@@ -317,3 +317,14 @@
 		}
 	}
 }
+
+// A release that no connection of owners could take is told to the one that hands its task over, once.
+func TestHandedOverWithItsReleaseOwed(t *testing.T) {
+	w := newWorld(t, nil)
+	o, link := w.placed(ref1)
+	w.step(OwnerGone{o})
+	w.want(lines[ToOwner](w.step(HostData{link, []byte(`{"t":"down","ref":"` + ref1 + `","f":{},"c":16}` + "\n")})))
+	next := w.owner()
+	w.want(lines[ToOwner](w.say(next, hold(ref1, 1))), "down "+ref1+" 16")
+	w.want(lines[ToOwner](w.say(next, hold(ref2, 1)))) // it stands, and nothing more is owed
+}
--- a/internal/placing/node/owners.go
+++ b/internal/placing/node/owners.go
@@ -127,10 +127,11 @@
 
 // tell writes a line about a request to its owner: on the connection that it came on, else on the one that most tasks
 // were placed for, else on the next that one is placed for.
-func (c *Core) tell(r *request, line []byte) {
+// It returns whether one of the first two was there.
+func (c *Core) tell(r *request, line []byte) bool {
 	if c.owners[r.owner] != nil {
 		c.do(ToOwner{r.owner, line})
-		return
+		return true
 	}
 	var best *owner
 	for _, o := range c.owners {
@@ -142,8 +143,9 @@
 	case best != nil:
 		c.do(ToOwner{best.id, line})
 	case len(c.owed) < mostOwed:
-		c.owed = append(c.owed, owedLine{line, c.now + owedFor})
+		c.owed = append(c.owed, owedLine{r.ref, line, c.now + owedFor})
 	}
+	return best != nil
 }
 
 func (c *Core) ownerData(in OwnerData) {
@@ -332,6 +334,7 @@
 	}
 	if over {
 		o.spoke = true
+		c.owed = slices.DeleteFunc(c.owed, func(w owedLine) bool { return w.ref == m.Ref })
 		if cause != platform.CauseMoved {
 			c.do(ToOwner{o.id, platform.Append(nil, platform.Release, m.Ref, cause, nil)})
 		}
--- a/internal/proving/nodelives/ends.go
+++ b/internal/proving/nodelives/ends.go
@@ -29,6 +29,7 @@
 	answer   string
 	final    string // the release
 	attempts []*attempt
+	counts   time.Duration // handed over: for the placer's spread from then on
 }
 
 func (a *ask) line(at string) string {
@@ -173,6 +174,8 @@
 				}
 				a.life, a.owner = life, p.owner()
 				a.owner.send(a.line(fmt.Sprintf(";at:%s", t.host.name())))
+				a.counts = time.Duration(math.MaxInt64)
+				p.in(life, &a.owner.busy, func() { a.counts = p.w.now + 200*time.Millisecond })
 				p.w.report.HandedOver++
 			}
 		}
@@ -376,7 +379,7 @@
 	if class.Spread != forkhead.Anywhere {
 		n := 1
 		for _, other := range w.asks {
-			if other.p != p || other.life != a.life || other.service != a.service || other.class != a.class || other.final != "" || other.left {
+			if other.p != p || other.life != a.life || other.service != a.service || other.class != a.class || other.final != "" || other.left || w.now < other.counts {
 				continue
 			}
 			for _, t := range other.attempts {
--- a/internal/proving/nodelives/hosts.go
+++ b/internal/proving/nodelives/hosts.go
@@ -108,6 +108,9 @@
 	}
 	c := &conn{p: p, id: o.Link, life: p.life, host: h}
 	p.links[o.Link] = c
+	if w.manual {
+		return
+	}
 	fail := func(refused bool) {
 		p.in(c.life, &c.back, func() {
 			if p.links[c.id] == c {
@@ -183,6 +186,9 @@
 // toHost carries a message to the host.
 func (c *conn) toHost(m platform.Message) {
 	w := c.p.w
+	if w.manual {
+		return
+	}
 	at := max(c.out, w.now+w.delay())
 	c.out = at
 	w.todo.Set(at, func() {
--- /dev/null
+++ b/internal/proving/nodelives/orders_test.go
@@ -0,0 +1,59 @@
+package nodelives
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"forkhead/internal/placing/node"
+)
+
+// Every order of four events around one task of each class keeps the rules.
+func TestOrdersKeepTheRules(t *testing.T) {
+	l := one(1)
+	l.Settings.MaxAttempts = 2
+	played, breaches := Orders(l.Settings, l.Names, 4, nil)
+	for _, b := range breaches {
+		t.Error(b)
+	}
+	if t.Logf("%d orders", played); played < 5000 {
+		t.Errorf("only %d orders", played)
+	}
+}
+
+// What is planted is found in a few events.
+func TestOrdersFindPlantedFaults(t *testing.T) {
+	once := func(o node.Output) bool {
+		x, ok := o.(node.ToHost)
+		return ok && bytes.Contains(x.Line, []byte(`"new"`))
+	}
+	final := func(o node.Output) bool {
+		x, ok := o.(node.ToOwner)
+		return ok && bytes.Contains(x.Line, []byte(`"down"`))
+	}
+	l := one(1)
+	l.Settings.MaxAttempts = 2
+	for name, c := range map[string]struct {
+		which func(node.Output) bool
+		times int
+		want  string
+	}{
+		"an offer twice": {once, 2, "two attempts"}, "an answer never": {final, 0, "one answer"}, "an answer twice": {final, 2, "a second time"},
+	} {
+		_, breaches := Orders(l.Settings, l.Names, 2, func() func(node.Output) []node.Output {
+			return func(o node.Output) []node.Output {
+				if !c.which(o) {
+					return []node.Output{o}
+				}
+				var all []node.Output
+				for range c.times {
+					all = append(all, o)
+				}
+				return all
+			}
+		})
+		if len(breaches) == 0 || !strings.Contains(strings.Join(breaches, "\n"), c.want) {
+			t.Errorf("%s is not found: %v", name, breaches)
+		}
+	}
+}
--- a/internal/proving/nodelives/play.go
+++ b/internal/proving/nodelives/play.go
@@ -58,6 +58,7 @@
 	report  Report
 	last    int
 	calm    bool // nothing goes wrong any more
+	manual  bool // nothing happens by itself
 }
 
 // Play plays a life.
