--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -144,6 +144,8 @@
 	asked(logs[1])
 	well()
 	_ = c.Process.Signal(syscall.SIGTERM)
+	_ = c.Process.Signal(syscall.SIGHUP) // and what comes behind it changes nothing
+	_ = c.Process.Signal(syscall.SIGTERM)
 	if err := c.Wait(); err != nil {
 		t.Errorf("it ends with %v", err)
 	}
--- a/internal/running/noded/crossings_test.go
+++ b/internal/running/noded/crossings_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"forkhead/internal/placing/node"
 	"forkhead/internal/protocol/platform"
 )
@@ -339,3 +341,44 @@
 		return len(got) == 2 && got[1].Type == platform.Release && got[1].Cause == platform.CauseOK
 	})
 }
+
+// Clients who say something once and stay, or nothing at all, fill the descriptors while discovery is down from the start: the
+// front's tests, usual owners, hosts and a new configuration still get theirs, and the list is followed once it is there.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	first, second := newHost(t, 0, 1), newHost(t, 0, 2)
+	known := change(1, true, entry(1, first, "in_service"))
+	good := (&standLog{cut: make(chan struct{}), events: []string{known, change(2, false, entry(1, first, "terminating"), entry(2, second, "in_service"))}}).serve(t)
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = down.Close()
+	_, cfg := start(t, &standLog{cut: make(chan struct{}), events: []string{known}})
+	cfg.ChangeLog = down.Addr().String()
+	s, err := Start(Options{Config: cfg, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Kill()
+	for i := range 2 * cap(s.seats) {
+		c, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			fmt.Fprintf(c, `{"t":"hb","ref":"%016x","f":{},"c":0}`+"\n", i)
+		}
+	}
+	o := newOwner(t, s.Address())
+	o.ping(t) // as the front does
+	o.ask("00000000000000a0", 9000)
+	until(t, "a task is placed from the known list", func() bool { return len(o.got("00000000000000a0")) == 1 })
+	cfg.ChangeLog = good
+	s.Reload(cfg)
+	until(t, "a task goes to a host of the new list", func() bool {
+		o.ask(fmt.Sprintf("%016x", time.Now().UnixNano()), 9000)
+		time.Sleep(5 * time.Millisecond)
+		return second.offers() > 0
+	})
+}
