--- a/internal/proving/nodelives/ends.go
+++ b/internal/proving/nodelives/ends.go
@@ -255,6 +255,13 @@
 		if p.told[n].state != h.State {
 			p.told[n] = told{h.State, p.w.now}
 		}
+		for _, a := range p.w.asks { // what stood in an earlier life of the host is over
+			for _, t := range a.attempts {
+				if a.p == p && t.up && t.host.n == int(n) && float64(t.at.Milliseconds()) < h.Born {
+					t.over = true
+				}
+			}
+		}
 	}
 }
 
