--- a/internal/placing/node/api.go
+++ b/internal/placing/node/api.go
@@ -151,8 +151,8 @@
 		To   int
 		Data []byte
 	}
-	// Deafen closes the listener.
-	Deafen struct{}
+	// CloseListener closes the listener.
+	CloseListener struct{}
 	// Ended says that nothing is owed any more: the process may end.
 	Ended struct{}
 	// Logged is a line for whoever is on call; a Defect is the program's.
@@ -162,13 +162,13 @@
 	}
 )
 
-func (ToOwner) output()    {}
-func (CloseOwner) output() {}
-func (Dial) output()       {}
-func (ToHost) output()     {}
-func (CloseLink) output()  {}
-func (FinishLink) output() {}
-func (ToPlacer) output()   {}
-func (Deafen) output()     {}
-func (Ended) output()      {}
-func (Logged) output()     {}
+func (ToOwner) output()       {}
+func (CloseOwner) output()    {}
+func (Dial) output()          {}
+func (ToHost) output()        {}
+func (CloseLink) output()     {}
+func (FinishLink) output()    {}
+func (ToPlacer) output()      {}
+func (CloseListener) output() {}
+func (Ended) output()         {}
+func (Logged) output()        {}
--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -24,8 +24,8 @@
 	timers agenda.Agenda[timer]
 	tendAt time.Duration
 
-	owners map[uint64]*owner
-	owed   []owedLine // what no connection of owners could take yet
+	owners  map[uint64]*owner
+	pending []undelivered // what no connection of owners could take yet
 
 	lastTask forkhead.TaskID
 	tasks    map[forkhead.TaskID]*request
@@ -46,8 +46,8 @@
 	seq      uint64 // of the change log
 	listed   bool   // the module has a list
 
-	stopAt time.Duration // when the stop began; 0: it has not
-	deaf   bool
+	stopAt  time.Duration // when the stop began; 0: it has not
+	closing bool
 }
 
 type givenUp struct {
@@ -67,7 +67,7 @@
 	ref  string
 }
 
-type owedLine struct {
+type undelivered struct {
 	ref  string
 	line []byte
 	by   time.Duration
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -755,11 +755,11 @@
 		c.tendHost(h)
 	}
 	if c.stopAt > 0 {
-		if !c.deaf && c.now >= c.stopAt+stopListening {
-			c.deaf = true
-			c.do(Deafen{})
+		if !c.closing && c.now >= c.stopAt+stopListening {
+			c.closing = true
+			c.do(CloseListener{})
 		}
-		if c.deaf && c.open == 0 && c.now >= c.stopAt+stopAtLeast &&
+		if c.closing && c.open == 0 && c.now >= c.stopAt+stopAtLeast &&
 			(!c.halfSaid() || c.now >= c.stopAt+stopAtLeast+wholeLine) {
 			c.do(Ended{})
 		}
--- a/internal/placing/node/node_test.go
+++ b/internal/placing/node/node_test.go
@@ -489,22 +489,22 @@
 	w.step(Stopping{})
 	w.say(o, setUp(ref1, "keyed", ""))
 	link := only[ToHost](w.dials())[0].Link
-	deaf, ended := false, false
+	closed, ended := false, false
 	tick := func(d time.Duration) {
 		for range d / (50 * time.Millisecond) {
 			w.now += 50 * time.Millisecond
 			out := w.step()
-			deaf = deaf || len(only[Deafen](out)) > 0
+			closed = closed || len(only[CloseListener](out)) > 0
 			ended = ended || len(only[Ended](out)) > 0
 		}
 	}
 	tick(600 * time.Millisecond)
-	if deaf {
+	if closed {
 		t.Fatal("it stops listening while requests come")
 	}
 	tick(700 * time.Millisecond)
 	w.want(lines[ToOwner](w.say(o, setUp(ref2, "keyed", ""))), "down "+ref2+" 42")
-	if !deaf || ended {
+	if !closed || ended {
 		t.Fatal("it listens on, or ends with a request open")
 	}
 	w.step(HostData{link, []byte(`{"t":"up","ref":"` + ref1 + `","f":{},"d":"y"}` + "\n")})
@@ -549,7 +549,7 @@
 	}
 	w.pass(time.Minute)
 	c := w.c
-	if n := len(c.tasks) + len(c.refs) + len(c.services) + len(c.owners) + len(c.owed) + c.open + c.timers.Len(); n != 0 {
+	if n := len(c.tasks) + len(c.refs) + len(c.services) + len(c.owners) + len(c.pending) + c.open + c.timers.Len(); n != 0 {
 		t.Errorf("%d tasks, refs, services, owners, lines and timers are kept", n)
 	}
 	if len(c.hosts) > 6 || len(c.links) > linksEach || len(c.ended.ring) > mostGivenUp || len(c.ended.has) > mostGivenUp {
--- a/internal/placing/node/owners.go
+++ b/internal/placing/node/owners.go
@@ -142,8 +142,8 @@
 	switch {
 	case best != nil:
 		c.do(ToOwner{best.id, line})
-	case len(c.owed) < mostOwed:
-		c.owed = append(c.owed, owedLine{r.ref, line, c.now + owedFor})
+	case len(c.pending) < mostOwed:
+		c.pending = append(c.pending, undelivered{r.ref, line, c.now + owedFor})
 	}
 	return best != nil
 }
@@ -201,10 +201,10 @@
 	}
 	o.stands++
 	o.placed++
-	for _, w := range c.owed {
+	for _, w := range c.pending {
 		c.do(ToOwner{o.id, w.line})
 	}
-	c.owed = nil
+	c.pending = nil
 }
 
 // fell takes a standing task that is over off the count.
@@ -334,7 +334,7 @@
 	}
 	if over {
 		o.spoke = true
-		c.owed = slices.DeleteFunc(c.owed, func(w owedLine) bool { return w.ref == m.Ref })
+		c.pending = slices.DeleteFunc(c.pending, func(w undelivered) bool { return w.ref == m.Ref })
 		if cause != platform.CauseMoved {
 			c.do(ToOwner{o.id, platform.Append(nil, platform.Release, m.Ref, cause, nil)})
 		}
@@ -465,7 +465,7 @@
 	for _, o := range late {
 		c.hangUp(o)
 	}
-	for len(c.owed) > 0 && c.owed[0].by < c.now {
-		c.owed = c.owed[1:]
+	for len(c.pending) > 0 && c.pending[0].by < c.now {
+		c.pending = c.pending[1:]
 	}
 }
--- a/internal/running/noded/noded.go
+++ b/internal/running/noded/noded.go
@@ -65,9 +65,9 @@
 	tap    func(now time.Duration, in []node.Input, out []node.Output)
 
 	inputs []node.Input
-	owners map[uint64]*wire
-	links  map[uint64]*wire
-	dirty  []*wire
+	owners map[uint64]*socket
+	links  map[uint64]*socket
+	dirty  []*socket
 	front  *netio.Listener
 
 	lastOwner atomic.Uint64
@@ -89,8 +89,8 @@
 	wait     sync.WaitGroup
 }
 
-// wire is one connection with what is to be written to it.
-type wire struct {
+// socket is one connection with what is to be written to it.
+type socket struct {
 	s       *Server
 	id      uint64
 	owner   bool
@@ -160,7 +160,7 @@
 		return nil, err
 	}
 	s := &Server{
-		log: o.Log, clock: clock.New(), engine: engine, core: core, tap: o.Tap, owners: map[uint64]*wire{}, links: map[uint64]*wire{},
+		log: o.Log, clock: clock.New(), engine: engine, core: core, tap: o.Tap, owners: map[uint64]*socket{}, links: map[uint64]*socket{},
 		seats: make(chan struct{}, c.Owners+acceptReserve), self: info.Me, ended: make(chan struct{}), killed: make(chan struct{}),
 		connect: set.ConnectTimeout,
 	}
@@ -300,7 +300,7 @@
 		s.dial(o)
 	case node.ToPlacer:
 		s.send(o)
-	case node.Deafen:
+	case node.CloseListener:
 		s.front.Drain(drainQuiet, drainMost)
 	case node.Ended:
 		if s.endBy == 0 {
@@ -315,7 +315,7 @@
 	}
 }
 
-func (s *Server) write(w *wire, line []byte) {
+func (s *Server) write(w *socket, line []byte) {
 	if w == nil || w.conn == nil {
 		return
 	}
@@ -327,7 +327,7 @@
 }
 
 // flush writes what a step has for a connection; a write that fails closes it, which is heard of by Closed.
-func (w *wire) flush() {
+func (w *socket) flush() {
 	w.dirty = false
 	if len(w.buf) > 0 {
 		_ = w.conn.Write(w.buf)
@@ -335,7 +335,7 @@
 	}
 }
 
-func (s *Server) close(of map[uint64]*wire, id uint64) {
+func (s *Server) close(of map[uint64]*socket, id uint64) {
 	w := of[id]
 	if w == nil {
 		return
@@ -353,7 +353,7 @@
 
 // linger closes a connection once all that was written to it has gone out: what is queued when a connection is closed is
 // lost. It returns false where too many linger already.
-func (s *Server) linger(w *wire) bool {
+func (s *Server) linger(w *socket) bool {
 	if s.lingering.Add(1) > mostLingering {
 		s.lingering.Add(-1)
 		return false
@@ -368,7 +368,7 @@
 }
 
 // lingered counts a connection that lingered as closed, once.
-func (w *wire) lingered() {
+func (w *socket) lingered() {
 	if w.lingers.Swap(false) {
 		w.s.lingering.Add(-1)
 	}
@@ -383,7 +383,7 @@
 	case <-s.killed:
 		return nil
 	}
-	w := &wire{s: s, id: s.lastOwner.Add(1), owner: true, conn: c}
+	w := &socket{s: s, id: s.lastOwner.Add(1), owner: true, conn: c}
 	if !s.loop.Wait(func() {
 		if !c.Gone() {
 			s.owners[w.id] = w
@@ -397,14 +397,14 @@
 }
 
 // leave frees the seat of an owner's connection, once.
-func (w *wire) leave() {
+func (w *socket) leave() {
 	if w.owner && !w.left.Swap(true) {
 		<-w.s.seats
 	}
 }
 
 func (s *Server) dial(o node.Dial) {
-	w := &wire{s: s, id: o.Link}
+	w := &socket{s: s, id: o.Link}
 	s.links[o.Link] = w
 	s.engine.Dial(o.Address, s.connect, toHost, w, func(c *netio.Conn, err error) {
 		s.loop.Do(func() {
@@ -436,7 +436,7 @@
 
 // Data takes bytes of a connection. The core sees what an owner sent last together with its leaving: it guards against
 // attempts for an owner that left while its bytes waited to be read.
-func (w *wire) Data(c *netio.Conn, p []byte) {
+func (w *socket) Data(c *netio.Conn, p []byte) {
 	data := append([]byte(nil), p...)
 	w.s.loop.Wait(func() {
 		switch {
@@ -453,14 +453,14 @@
 }
 
 // Closed takes the end of a connection.
-func (w *wire) Closed(*netio.Conn, error) {
+func (w *socket) Closed(*netio.Conn, error) {
 	w.lingered()
 	w.leave()
 	w.s.loop.Do(func() { w.s.gone(w) })
 }
 
 // gone tells the core, once, that the other end of a connection has left.
-func (s *Server) gone(w *wire) {
+func (s *Server) gone(w *socket) {
 	if w.closed {
 		return
 	}
