A host in a zone that the settings do not have is not used where there are several

Need: the spread over zones and the groups of keyed tasks rested on zone 0 for an unknown name. It is logged and passed over, as an unknown kind is; with one zone there is nothing to choose. Test: TestHostInAnUnknownZone.

--- a/internal/placing/node/crossings_test.go
+++ b/internal/placing/node/crossings_test.go
@@ -328,3 +328,17 @@
 	w.want(lines[ToOwner](w.say(next, hold(ref1, 1))), "down "+ref1+" 16")
 	w.want(lines[ToOwner](w.say(next, hold(ref2, 1)))) // it stands, and nothing more is owed
 }
+
+// A host in a zone that the settings do not have is not used, where there is more than one: the spread over zones and the
+// groups of keyed tasks would rest on a guess.
+func TestHostInAnUnknownZone(t *testing.T) {
+	for _, zones := range [][]string{{"z"}, {"z", "y"}} {
+		w := newWorld(t, func(cfg *Config) { cfg.Names.Zones = zones })
+		info := hostInfo(5, platform.InService)
+		info.Site = "elsewhere"
+		out := w.step(Changed{Change: platform.Change{Seq: 2, Fleet: &platform.Fleet{Hosts: []platform.HostInfo{info}}}})
+		if used := w.c.hosts[5] != nil; used != (len(zones) == 1) || !used && len(only[Logged](out)) != 1 {
+			t.Errorf("%d zones: used %v, logged %v", len(zones), used, only[Logged](out))
+		}
+	}
+}
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -659,7 +659,11 @@
 		number, ok := platform.HostNumber(info.Name)
 		state, known := states[info.State]
 		kind := slices.Index(c.cfg.Names.Kinds, info.Class)
-		if !ok || !known || kind < 0 && state != forkhead.Gone {
+		zone := slices.Index(c.cfg.Names.Zones, info.Site)
+		if len(c.cfg.Names.Zones) == 1 {
+			zone = 0
+		}
+		if !ok || !known || (kind < 0 || zone < 0) && state != forkhead.Gone {
 			c.logf("the change log lists %q, which cannot be used", info.Name)
 			continue
 		}
@@ -670,7 +674,7 @@
 			c.hosts[number], c.order = h, nil
 		}
 		e := forkhead.Machine{
-			ID: forkhead.MachineID(number), State: state, Kind: max(kind, 0), Zone: max(slices.Index(c.cfg.Names.Zones, info.Site), 0),
+			ID: forkhead.MachineID(number), State: state, Kind: max(kind, 0), Zone: max(zone, 0),
 			Cell: info.Block, Started: time.Duration(info.Born * float64(time.Millisecond)),
 		}
 		if len(info.Free) >= 2 {
