nodelives: a task that its placer has ended counts against the spread for a second, as in the core

Followed by its lines: the owner of task 12 had ended it, its host was cut off and could not say so, and the placer let the next one of the service go there after hostsWord.

--- a/internal/proving/nodelives/ends.go
+++ b/internal/proving/nodelives/ends.go
@@ -48,9 +48,10 @@
 	host  *host
 	conn  *conn
 	at    time.Duration
-	never bool // told that it never ran
-	over  bool // told that it is over, given up, or its connection is gone
-	up    bool // told that it stands
+	never bool          // told that it never ran
+	over  bool          // told that it is over, given up, or its connection is gone
+	up    bool          // told that it stands
+	cutAt time.Duration // its placer has ended it, which counts as heard a second later; 0: it has not
 	// At the host.
 	stands bool
 	done   bool
@@ -390,7 +391,7 @@
 				continue
 			}
 			for _, t := range other.attempts {
-				if !t.over && !t.never && w.same(class.Spread, t.host, c.host) {
+				if !t.over && !t.never && w.same(class.Spread, t.host, c.host) && !(t.cutAt > 0 && w.now >= t.cutAt+time.Second) {
 					n++
 				}
 			}
@@ -422,6 +423,8 @@
 		for _, t := range a.attempts {
 			if t.host == h && !t.up {
 				t.over = true
+			} else if t.host == h && t.cutAt == 0 {
+				t.cutAt = p.w.now
 			}
 		}
 	}
