An offer that waited for its connection is judged again against the spread

Seen: a life of proving/nodelives drawn at random broke the spread; by its lines: 6.544 set-up of a second task of the service, chosen for a host whose connection came up late; 6.555 the first one, placed there by the life before, is handed over; 6.834 the offer is written. Ruled out: the judge (the hand-over had been there for 0.28 s, past the platform's 0.2 s), the module (it chose before). Cause: write() asked for the drain and the key's window again and not for the spread, as placing/core does. Test: TestHandedOverWhileAnOfferWaits; the recorded life passes.

--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -311,10 +311,25 @@
 	c.carry(t)
 }
 
+// crowded says whether an attempt would be one too many of its service in some place by now: tasks may have been handed over
+// while it waited for its connection.
+func (c *Core) crowded(t *try) bool {
+	return guard.Crowded(&guard.Offer{
+		Task: &t.req.task, Class: t.req.class, To: t.host.guarded(),
+		Others: func(yield func(*guard.Host) bool) {
+			for _, other := range c.services[t.req.task.Service] {
+				if other != t && !yield(other.host.guarded()) {
+					return
+				}
+			}
+		},
+	}) != nil
+}
+
 // write sends an attempt on its link, which is open; one that has become wrong while it waited is not sent.
 func (c *Core) write(t *try) {
 	r := t.req
-	if r.phase != open || r.ask.MayWrite(c.now, t.number) != nil ||
+	if r.phase != open || r.ask.MayWrite(c.now, t.number) != nil || c.crowded(t) ||
 		guard.Drained(c.now, t.host.entry.State, t.host.since, c.set.DrainGrace) {
 		c.outcome(t, attempt.CalledOff, forkhead.Moot, forkhead.NoReason, r.phase != open, nil)
 		return
--- a/internal/placing/node/crossings_test.go
+++ b/internal/placing/node/crossings_test.go
@@ -342,3 +342,26 @@
 		}
 	}
 }
+
+// A task of the service is handed over at the host while an offer waits for its connection there: the offer is not sent where
+// that would be one too many.
+func TestHandedOverWhileAnOfferWaits(t *testing.T) {
+	for most, want := range map[int]int{1: 0, 2: 1} {
+		w := newWorld(t, func(cfg *Config) {
+			cfg.Settings.Classes[0].Spread, cfg.Settings.Classes[0].Most = forkhead.OnMachine, most
+		})
+		o := w.owner()
+		w.say(o, setUp(ref1, "keyed", ""))
+		dial := only[Dial](w.out)[0]
+		w.say(o, hold(ref2, 1))
+		n := 0
+		for _, line := range lines[ToHost](w.step(Dialled{dial.Link})) {
+			if line == "new "+ref1 {
+				n++
+			}
+		}
+		if got := told[forkhead.Outcome](w); n != want || want == 0 && (len(got) != 1 || got[0].Result != forkhead.Moot) {
+			t.Errorf("at most %d: %d offers are sent, outcomes %+v", most, n, got)
+		}
+	}
+}
