--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -256,6 +256,7 @@
 	link   *link // that carries it, or that it waits for
 	at     time.Duration
 	endBy  time.Duration // ending: the host's word is awaited until then
+	told   bool          // ending: its host has been told
 	noted  bool          // its host has sent notes on it: it stands there, answered or not
 }
 
@@ -490,9 +491,15 @@
 		return
 	}
 	r.phase = ending
+	c.stopTask(t)
+}
+
+// stopTask tells the host of a task that it is to end, where a connection is open, else on the next (dialled).
+func (c *Core) stopTask(t *try) {
 	t.endBy = c.now + hostsWord
 	if l := t.host.best(); l != nil {
-		c.cancel(l, r.ref)
+		t.told = true
+		c.cancel(l, t.req.ref)
 	}
 }
 
--- a/internal/placing/node/crossings_test.go
+++ b/internal/placing/node/crossings_test.go
@@ -365,3 +365,26 @@
 		}
 	}
 }
+
+// A task that its owner ends while no connection to its host is open is ended on the next one.
+func TestEndedWithNoConnection(t *testing.T) {
+	w := newWorld(t, nil)
+	o, link := w.placed(ref1)
+	w.step(LinkGone{link})
+	w.want(lines[ToOwner](w.say(o, `{"t":"down","ref":"`+ref1+`","f":{},"c":16}`)), "ack "+ref1)
+	var calls []Dial
+	for range 40 { // its host takes no connection for 2 s
+		w.now += 50 * time.Millisecond
+		for _, d := range only[Dial](w.step()) {
+			calls = append(calls, d)
+		}
+		if len(calls) > 0 && w.c.links[calls[len(calls)-1].Link] != nil && len(calls) < 3 {
+			w.step(DialFailed{Link: calls[len(calls)-1].Link})
+		}
+	}
+	w.want(lines[ToHost](w.step(Dialled{calls[len(calls)-1].Link})), "down "+ref1+" 16")
+	w.pass(1100 * time.Millisecond)
+	if w.c.refs[ref1] != nil {
+		t.Error("it is not forgotten once its host was told")
+	}
+}
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -210,6 +210,10 @@
 	for _, t := range waiting {
 		c.write(t)
 	}
+	// Tasks that were to end while no connection was open. Guards against a task that its owner has ended and that runs on.
+	for _, t := range h.triesThat(func(t *try) bool { return t.req.phase == ending && !t.told }) {
+		c.stopTask(t)
+	}
 	if l.renew {
 		for _, old := range slices.Clone(h.links) {
 			if old != l && old.open && old.out == 0 {
@@ -801,7 +805,9 @@
 			c.testOn(h)
 		}
 	}
-	for _, t := range h.triesThat(func(t *try) bool { return t.req.phase == ending && c.now > t.endBy }) {
+	for _, t := range h.triesThat(func(t *try) bool {
+		return t.req.phase == ending && (t.told && c.now > t.endBy || c.now > t.endBy+owedFor)
+	}) {
 		c.finish(t, platform.CauseMoved, forkhead.NoReason, nil)
 	}
 	if h.awaited > 0 {
