--- a/internal/placing/node/crossings_test.go
+++ b/internal/placing/node/crossings_test.go
@@ -375,9 +375,7 @@
 	var calls []Dial
 	for range 40 { // its host takes no connection for 2 s
 		w.now += 50 * time.Millisecond
-		for _, d := range only[Dial](w.step()) {
-			calls = append(calls, d)
-		}
+		calls = append(calls, only[Dial](w.step())...)
 		if len(calls) > 0 && w.c.links[calls[len(calls)-1].Link] != nil && len(calls) < 3 {
 			w.step(DialFailed{Link: calls[len(calls)-1].Link})
 		}
