Read over: one run over a service's hosts, one world and one writer of lines for the lives

The run over the hosts of a service's live attempts stood in offer() and in crowded(): others(). nodelives made its world in Play and in replay, marked the end of a connection in two places, and wrote the platform's lines by hand where platform.Append does: newWorld, ended, word; a field that nobody read is gone. noded's own connect time-out could not be reached any more, as Check wants the settings to have one; finish() turned a cause into what it was already; the sorted hosts are made anew where they were dropped, and a second condition on their number is gone. Change: no behaviour.

--- a/internal/placing/node/core.go
+++ b/internal/placing/node/core.go
@@ -289,13 +289,7 @@
 			}
 			return nil
 		},
-		Others: func(yield func(*guard.Host) bool) {
-			for _, t := range c.services[r.task.Service] {
-				if !yield(t.host.guarded()) {
-					return
-				}
-			}
-		},
+		Others: c.others(r.task.Service, nil),
 	})
 	if veto != nil {
 		c.defect("an offer of task %d to %s is vetoed: %v", r.id, h.name, veto)
@@ -316,17 +310,21 @@
 // while it waited for its connection.
 func (c *Core) crowded(t *try) bool {
 	return guard.Crowded(&guard.Offer{
-		Task: &t.req.task, Class: t.req.class, To: t.host.guarded(),
-		Others: func(yield func(*guard.Host) bool) {
-			for _, other := range c.services[t.req.task.Service] {
-				if other != t && !yield(other.host.guarded()) {
-					return
-				}
-			}
-		},
+		Task: &t.req.task, Class: t.req.class, To: t.host.guarded(), Others: c.others(t.req.task.Service, t),
 	}) != nil
 }
 
+// others runs over the hosts of a service's live attempts, but one.
+func (c *Core) others(service uint64, but *try) func(yield func(*guard.Host) bool) {
+	return func(yield func(*guard.Host) bool) {
+		for _, t := range c.services[service] {
+			if t != but && !yield(t.host.guarded()) {
+				return
+			}
+		}
+	}
+}
+
 // write sends an attempt on its link, which is open; one that has become wrong while it waited is not sent.
 func (c *Core) write(t *try) {
 	r := t.req
@@ -526,7 +524,7 @@
 	c.fell(r)
 	known := release{givenUp{t.host.number, r.ref}, platform.CauseMoved} // a hand-over that comes now is owed nothing
 	if r.phase == standing && cause != platform.CauseMoved && !c.tell(r, platform.Append(nil, platform.Release, r.ref, cause, nil)) {
-		known.cause = endCause(cause) // but what could not be told
+		known.cause = cause // but what could not be told
 	}
 	c.releases.add(known)
 	r.phase = over
--- a/internal/placing/node/hosts.go
+++ b/internal/placing/node/hosts.go
@@ -628,7 +628,7 @@
 
 // sorted lists the hosts by number. It must not be changed; what is added or forgotten makes it anew.
 func (c *Core) sorted() []*host {
-	if len(c.order) != len(c.hosts) {
+	if c.order == nil {
 		c.order = slices.SortedFunc(maps.Values(c.hosts), func(a, b *host) int { return cmp.Compare(a.number, b.number) })
 	}
 	return c.order
--- a/internal/proving/nodelives/ends.go
+++ b/internal/proving/nodelives/ends.go
@@ -23,7 +23,6 @@
 	at       time.Duration
 	wait     time.Duration
 	owner    *owner
-	conn     uint64
 	leaving  bool // its owner has given it up, which may not have come to the placer
 	left     bool // and has
 	answer   string
@@ -38,7 +37,7 @@
 	if n := len(w.Names.Tenants); n > 0 {
 		tenant = fmt.Sprintf(`"tenant":%q,`, w.Names.Tenants[int(a.service)%n])
 	}
-	return fmt.Sprintf(`{"t":"new","ref":"%s","f":{"class":%q,%s"left":"%d","key":"%s","idem":"i%s","extras":"cores:%g;memory:%g;service:%016x%s"},"d":"x"}`,
+	return fmt.Sprintf(`{"t":"new","ref":"%s","f":{"class":%q,%s"left":"%d","key":"%s","idem":"i%s","extras":"cores:%g;memory:%g;service:%016x%s"},"d":"x"}`+"\n",
 		a.ref, w.Names.Classes[a.class], tenant, a.wait.Milliseconds(), a.ref, a.ref, a.cores, a.cores, a.service, at)
 }
 
@@ -70,7 +69,7 @@
 func (o *owner) send(line string) {
 	o.p.in(o.life, &o.busy, func() {
 		if o.open {
-			o.p.step(node.OwnerData{Owner: o.id, Data: []byte(line + "\n")})
+			o.p.step(node.OwnerData{Owner: o.id, Data: []byte(line)})
 		}
 	})
 }
@@ -137,10 +136,7 @@
 	p.life++
 	p.owners, p.links, p.told = map[uint64]*owner{}, map[uint64]*conn{}, map[uint32]told{}
 	set := p.w.Settings
-	set.Placers, set.Self = len(p.w.placers), p.n
-	if p.w.Placers > set.Placers {
-		set.Placers = p.w.Placers
-	}
+	set.Placers, set.Self = p.w.Placers, p.n
 	room := max(p.w.Room, 8)
 	core, err := node.New(node.Config{
 		Settings: set, Names: p.w.Names, Idle: p.w.Idle, Seed: p.w.Seed + uint64(p.life), Known: slices.Clone(p.w.events),
--- a/internal/proving/nodelives/hosts.go
+++ b/internal/proving/nodelives/hosts.go
@@ -84,6 +84,15 @@
 	h.w.tell(false, h.info(platform.InService))
 }
 
+// word is a message as a line; an answer has a description.
+func word(kind, ref string, cause int, fields ...platform.Field) string {
+	var desc []byte
+	if kind == platform.Answer {
+		desc = []byte(`"y"`)
+	}
+	return string(platform.Append(nil, kind, ref, cause, desc, fields...))
+}
+
 // conn is a connection of a placer to a host.
 type conn struct {
 	p         *placer
@@ -171,18 +180,21 @@
 	}
 	c.p.in(c.life, &c.back, func() {
 		if !c.gone && c.p.links[c.id] == c {
-			c.gone = true
-			delete(c.p.links, c.id)
-			for _, t := range c.open {
-				if !t.up {
-					t.over = true
-				}
-			}
-			c.p.step(node.LinkGone{Link: c.id})
+			c.ended()
 		}
 	})
 }
 
+// ended brings the end of a connection to its placer.
+func (c *conn) ended() {
+	c.gone = true
+	delete(c.p.links, c.id)
+	for _, t := range c.open {
+		t.over = t.over || !t.up
+	}
+	c.p.step(node.LinkGone{Link: c.id})
+}
+
 // toHost carries a message to the host.
 func (c *conn) toHost(m platform.Message) {
 	w := c.p.w
@@ -210,7 +222,7 @@
 		if read != nil {
 			read()
 		}
-		c.p.step(node.HostData{Link: c.id, Data: []byte(line + "\n")})
+		c.p.step(node.HostData{Link: c.id, Data: []byte(line)})
 	})
 }
 
@@ -229,15 +241,9 @@
 
 func (h *host) receive(c *conn, m platform.Message) {
 	w := h.w
-	line := func(kind, ref string, cause int, more string) string {
-		if kind == platform.Answer {
-			return fmt.Sprintf(`{"t":"up","ref":"%s","f":{},"d":"y"}`, ref)
-		}
-		return fmt.Sprintf(`{"t":"%s","ref":"%s","f":{%s},"c":%d}`, kind, ref, more, cause)
-	}
 	switch m.Type {
 	case platform.Test:
-		c.toPlacer(line(platform.TestResult, m.Ref, 1, `"load":"x0:4;x1:4"`), nil)
+		c.toPlacer(word(platform.TestResult, m.Ref, 1, platform.Quoted("load", "x0:4;x1:4")), nil)
 	case platform.Heard:
 		h.owed = slices.DeleteFunc(h.owed, func(o owed) bool { return o.p == c.p && o.t.ask.ref == m.Ref })
 	case platform.Release:
@@ -264,12 +270,12 @@
 		if t == nil {
 			return
 		}
-		w.at(time.Duration(1+w.rng.IntN(40))*time.Millisecond, func() { h.look(c, t, line) })
+		w.at(time.Duration(1+w.rng.IntN(40))*time.Millisecond, func() { h.look(c, t) })
 	}
 }
 
 // look is the host's turn at an offer.
-func (h *host) look(c *conn, t *attempt, line func(kind, ref string, cause int, more string) string) {
+func (h *host) look(c *conn, t *attempt) {
 	w := h.w
 	if t.done || !h.up || h.life != c.at || c.gone {
 		return
@@ -277,24 +283,24 @@
 	ref := t.ask.ref
 	switch {
 	case !h.ready || w.rng.IntN(12) == 0:
-		c.toPlacer(line(platform.Release, ref, []int{platform.CauseFull, platform.CauseMoot}[w.rng.IntN(2)], ""), func() { t.never, t.over = true, true })
+		c.toPlacer(word(platform.Release, ref, []int{platform.CauseFull, platform.CauseMoot}[w.rng.IntN(2)]), func() { t.never, t.over = true, true })
 	case w.odds(15):
-		c.toPlacer(line(platform.Release, ref, []int{platform.CauseFailed, platform.CauseReset}[w.rng.IntN(2)], ""), func() { t.over = true })
+		c.toPlacer(word(platform.Release, ref, []int{platform.CauseFailed, platform.CauseReset}[w.rng.IntN(2)]), func() { t.over = true })
 	case w.odds(15):
 		c.reset()
 	case w.odds(20):
-		c.toPlacer("\x00 not a message", nil)
+		c.toPlacer("\x00 not a message\n", nil)
 	case w.odds(20): // it never answers
 	default:
 		t.stands = true
 		h.held[ref] = t
-		c.toPlacer(line(platform.Answer, ref, 0, ""), func() {
+		c.toPlacer(word(platform.Answer, ref, platform.NoCause), func() {
 			if !t.over {
 				t.up = true
 			}
 		})
 		if w.odds(8) {
-			c.toPlacer(line(platform.Answer, ref, 0, ""), nil)
+			c.toPlacer(word(platform.Answer, ref, platform.NoCause), nil)
 		}
 		life := h.life
 		w.at(time.Duration(300+w.rng.IntN(6000))*time.Millisecond, func() {
@@ -317,7 +323,7 @@
 	if !tell {
 		return
 	}
-	text := fmt.Sprintf(`{"t":"down","ref":"%s","f":{},"c":%d}`, t.ask.ref, cause)
+	text := word(platform.Release, t.ask.ref, cause)
 	p := t.ask.p
 	heard := func() { t.over = true }
 	h.owed = append(h.owed, owed{p, text, t})
--- a/internal/proving/nodelives/orders.go
+++ b/internal/proving/nodelives/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -47,20 +46,11 @@
 const orderWait = 1500 * time.Millisecond
 
 func replay(set forkhead.Settings, names node.Names, class int, order []string, spoil func() func(node.Output) []node.Output) (*world, *ask) {
-	w := &world{
-		Life: Life{Settings: set, Names: names, Placers: 1, Room: 40}, rng: rand.New(rand.NewPCG(1, 1)), now: time.Hour, asks: map[string]*ask{},
-		calm: true, manual: true,
-	}
+	w := newWorld(Life{Settings: set, Names: names, Placers: 1, Hosts: 2, Room: 40})
+	w.calm, w.manual = true, true
 	if spoil != nil {
 		w.Spoil = spoil()
 	}
-	var all []platform.HostInfo
-	for i := range 2 {
-		h := &host{w: w, n: i + 1, life: 1, up: true, ready: true, held: map[string]*attempt{}}
-		w.hosts = append(w.hosts, h)
-		all = append(all, h.info(platform.InService))
-	}
-	w.tell(true, all...)
 	p := &placer{w: w}
 	w.placers = append(w.placers, p)
 	p.start()
@@ -69,7 +59,7 @@
 	a := &ask{ref: "00000000000000a1", p: p, life: p.life, class: class, service: 1, cores: 1, at: w.now, wait: orderWait, owner: o}
 	w.asks[a.ref] = a
 	p.step(node.Accepted{Owner: 1})
-	p.step(node.OwnerData{Owner: 1, Data: []byte(a.line("") + "\n")})
+	p.step(node.OwnerData{Owner: 1, Data: []byte(a.line(""))})
 	for _, ev := range order {
 		w.happen(a, ev)
 	}
@@ -119,19 +109,19 @@
 // happen lets one thing happen.
 func (w *world) happen(a *ask, ev string) {
 	p := w.placers[0]
-	word, rest, _ := strings.Cut(ev, " ")
+	what, rest, _ := strings.Cut(ev, " ")
 	n := 0
 	_, _ = fmt.Sscan(rest, &n)
 	say := func(t *attempt, cause int, read func()) {
-		t.done = cause >= 0
+		t.done = cause != platform.NoCause
 		read()
-		line := fmt.Sprintf(`{"t":"down","ref":"%s","f":{},"c":%d}`, a.ref, cause)
-		if cause < 0 {
-			line = fmt.Sprintf(`{"t":"up","ref":"%s","f":{},"d":"y"}`, a.ref)
+		kind := platform.Release
+		if cause == platform.NoCause {
+			kind = platform.Answer
 		}
-		p.step(node.HostData{Link: t.conn.id, Data: []byte(line + "\n")})
+		p.step(node.HostData{Link: t.conn.id, Data: []byte(word(kind, a.ref, cause))})
 	}
-	switch word {
+	switch what {
 	case "wait":
 		w.until(w.now + 120*time.Millisecond)
 	case "deadline":
@@ -142,10 +132,10 @@
 		p.step(node.OwnerGone{Owner: 1})
 	case "give-up":
 		a.leaving = true
-		p.step(node.OwnerData{Owner: 1, Data: []byte(fmt.Sprintf(`{"t":"down","ref":"%s","f":{},"c":16}`+"\n", a.ref))})
+		p.step(node.OwnerData{Owner: 1, Data: []byte(word(platform.Release, a.ref, platform.CauseOK))})
 		a.left = a.left || a.answer == ""
 	case "hand-over":
-		p.step(node.OwnerData{Owner: 1, Data: []byte(a.line(";at:"+a.standing().host.name()) + "\n")})
+		p.step(node.OwnerData{Owner: 1, Data: []byte(a.line(";at:" + a.standing().host.name()))})
 	case "made":
 		c := p.links[uint64(n)]
 		c.made = true
@@ -154,23 +144,17 @@
 		delete(p.links, uint64(n))
 		p.step(node.DialFailed{Link: uint64(n), Refused: true})
 	case "gone":
-		c := p.links[uint64(n)]
-		c.gone = true
-		delete(p.links, c.id)
-		for _, t := range c.open {
-			t.over = t.over || !t.up
-		}
-		p.step(node.LinkGone{Link: c.id})
+		p.links[uint64(n)].ended()
 	case "up":
 		t := a.attempts[n]
 		t.stands = true
-		say(t, -1, func() { t.up = t.up || !t.over })
+		say(t, platform.NoCause, func() { t.up = t.up || !t.over })
 	case "full":
 		t := a.attempts[n]
 		say(t, platform.CauseFull, func() { t.never, t.over = true, true })
 	case "error", "end", "cut":
 		t := a.attempts[n]
-		cause := map[string]int{"error": platform.CauseFailed, "end": platform.CauseOK, "cut": platform.CauseReset}[word]
+		cause := map[string]int{"error": platform.CauseFailed, "end": platform.CauseOK, "cut": platform.CauseReset}[what]
 		say(t, cause, func() { t.over, t.cause = true, cause })
 	case "drain":
 		ch := platform.Change{Seq: uint64(len(w.events) + 1), Fleet: &platform.Fleet{Hosts: []platform.HostInfo{w.hosts[0].info(platform.Terminating)}}}
--- a/internal/proving/nodelives/play.go
+++ b/internal/proving/nodelives/play.go
@@ -63,14 +63,7 @@
 
 // Play plays a life.
 func Play(life Life) Report {
-	w := &world{Life: life, rng: rand.New(rand.NewPCG(life.Seed, 5)), now: time.Hour, asks: map[string]*ask{}}
-	var all []platform.HostInfo
-	for i := range life.Hosts {
-		h := &host{w: w, n: i + 1, life: 1, up: true, ready: true, kind: i % len(life.Names.Kinds), held: map[string]*attempt{}}
-		w.hosts = append(w.hosts, h)
-		all = append(all, h.info(platform.InService))
-	}
-	w.tell(true, all...)
+	w := newWorld(life)
 	for i := range life.Placers {
 		p := &placer{w: w, n: i}
 		w.placers = append(w.placers, p)
@@ -97,6 +90,19 @@
 	return w.report
 }
 
+// newWorld has the hosts, listed, and no placer yet.
+func newWorld(life Life) *world {
+	w := &world{Life: life, rng: rand.New(rand.NewPCG(life.Seed, 5)), now: time.Hour, asks: map[string]*ask{}}
+	var all []platform.HostInfo
+	for i := range life.Hosts {
+		h := &host{w: w, n: i + 1, life: 1, up: true, ready: true, kind: i % len(life.Names.Kinds), held: map[string]*attempt{}}
+		w.hosts = append(w.hosts, h)
+		all = append(all, h.info(platform.InService))
+	}
+	w.tell(true, all...)
+	return w
+}
+
 func (w *world) at(in time.Duration, do func()) { w.todo.Set(w.now+in, do) }
 
 func (w *world) breach(format string, args ...any) {
@@ -190,13 +196,12 @@
 	w.asks[a.ref] = a
 	w.report.Asks++
 	a.owner = p.owner()
-	a.conn = a.owner.id
 	a.owner.send(a.line(""))
 	if w.odds(8) {
 		w.at(time.Duration(w.rng.IntN(int(a.wait))), func() {
 			if a.final == "" && !a.left && a.owner.open && p.life == a.life {
 				if w.rng.IntN(2) == 0 {
-					a.owner.send(fmt.Sprintf(`{"t":"down","ref":"%s","f":{},"c":16}`, a.ref))
+					a.owner.send(word(platform.Release, a.ref, platform.CauseOK))
 					a.leaving = true
 					p.in(a.life, &a.owner.busy, func() { a.left = a.left || a.answer == "" })
 				} else {
--- a/internal/running/noded/noded.go
+++ b/internal/running/noded/noded.go
@@ -35,7 +35,6 @@
 	lastWords     = 2 * time.Second       // what is still unread by an owner so long after the core has ended is lost
 	drainQuiet    = 20 * time.Millisecond // without a new connection: the accept queue is empty
 	drainMost     = 300 * time.Millisecond
-	connectWithin = 250 * time.Millisecond // where the settings name no time-out
 )
 
 // Options are what a placer runs with.
@@ -164,9 +163,6 @@
 		seats: make(chan struct{}, c.Owners+acceptReserve), self: info.Me, ended: make(chan struct{}), killed: make(chan struct{}),
 		connect: set.ConnectTimeout,
 	}
-	if s.connect <= 0 {
-		s.connect = connectWithin
-	}
 	s.loop = loop.New(s.clock, mostJobs, s.step)
 	if err := s.listenPeers(cfg); err != nil {
 		engine.Stop()
