--- a/internal/emulator/platform/server.go
+++ b/internal/emulator/platform/server.go
@@ -103,6 +103,9 @@
 	})
 }
 
+// Now returns the time of the journal.
+func (s *Server) Now() time.Duration { return s.clock.Now() }
+
 // PlacerStopped tells the emulator that a placer has stopped.
 func (s *Server) PlacerStopped(placer int) {
 	s.loop.Call(func() { s.addInput(platformmodel.PlacerStopped{Placer: placer}) })
--- a/internal/emulator/platformmodel/endpointlog.go
+++ b/internal/emulator/platformmodel/endpointlog.go
@@ -93,6 +93,15 @@
 	})
 }
 
+// PublishSnapshotWithout removes an endpoint and appends a snapshot without it, which does not say that the endpoint is
+// terminated.
+func (l *EndpointLog) PublishSnapshotWithout(now time.Duration, name string) []Action {
+	return l.handle(now, func() {
+		delete(l.endpoints, name)
+		l.append(l.snapshot(0).Endpoints)
+	})
+}
+
 // RestartSequence closes all streams and numbers the events from 1 again, beginning with a snapshot, like a log that has
 // lost its state.
 func (l *EndpointLog) RestartSequence(now time.Duration) []Action {
--- a/internal/emulator/platformmodel/faults.go
+++ b/internal/emulator/platformmodel/faults.go
@@ -31,6 +31,9 @@
 	FaultHostReaddressed                  // the target's machine is lost, and back at another address when the fault ends
 	FaultMassHandOver                     // acts once: the target hands over all its running tasks
 	FaultSequenceRestart                  // acts once: the endpoint log numbers its events from 1 again
+	FaultIdleClosed                       // acts once: the target closes its connections without undecided offers
+	FaultListedRemoved                    // the endpoint log has the target as terminated, although its process runs
+	FaultOmitted                          // a snapshot of the endpoint log leaves the target out, although its process runs
 	faultTypeCount
 )
 
@@ -38,6 +41,7 @@
 var faultNames = [faultTypeCount]string{
 	"late", "silent", "half-open", "reset", "spoilt", "doubled", "reordered", "unread", "refused", "clock skew", "mass kill",
 	"mass restart", "zone partition", "host replaced", "host readdressed", "mass hand-over", "sequence restart",
+	"idle closed", "listed removed", "omitted",
 }
 
 // String returns the name of the type.
--- a/internal/emulator/platformmodel/host.go
+++ b/internal/emulator/platformmodel/host.go
@@ -149,6 +149,17 @@
 	})
 }
 
+// CloseIdleConnections closes the connections without undecided offers.
+func (h *Host) CloseIdleConnections(now time.Duration) []Action {
+	return h.handle(now, func() {
+		for _, c := range h.sortedConnections() {
+			if !h.hasQueuedOffer(c) {
+				h.closeConnection(c)
+			}
+		}
+	})
+}
+
 // Step handles the timers that are due.
 func (h *Host) Step(now time.Duration) []Action { return h.handle(now, func() {}) }
 
@@ -244,7 +255,7 @@
 		if h.now < c.lastUsed+h.cfg.IdleTimeout {
 			continue
 		}
-		if slices.ContainsFunc(h.queue, func(o *offer) bool { return o.conn == c.id }) {
+		if h.hasQueuedOffer(c) {
 			c.lastUsed = h.now
 			continue
 		}
@@ -252,6 +263,11 @@
 	}
 }
 
+// hasQueuedOffer reports whether an offer of the connection has no decision yet.
+func (h *Host) hasQueuedOffer(c *hostConnection) bool {
+	return slices.ContainsFunc(h.queue, func(o *offer) bool { return o.conn == c.id })
+}
+
 func (h *Host) closeConnection(c *hostConnection) {
 	h.add(Close{c.id})
 	h.forgetConnection(c.id)
--- a/internal/emulator/platformmodel/injectors.go
+++ b/internal/emulator/platformmodel/injectors.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"forkhead/internal/protocol/platform"
 )
 
 // massRestartDowntime is the time from the kill of a host to its start in a FaultMassRestart.
@@ -48,6 +50,9 @@
 		FaultHostReaddressed: {onlyHosts, (*Emulator).beginMachineLoss, (*Emulator).endHostReaddressed},
 		FaultMassHandOver:    {[]PartyKind{OwnerParty}, (*Emulator).beginMassHandOver, nil},
 		FaultSequenceRestart: {[]PartyKind{EndpointLogParty}, (*Emulator).beginSequenceRestart, nil},
+		FaultIdleClosed:      {onlyHosts, (*Emulator).beginIdleClosed, nil},
+		FaultListedRemoved:   {onlyHosts, (*Emulator).beginListedRemoved, (*Emulator).endListedRemoved},
+		FaultOmitted:         {onlyHosts, (*Emulator).beginOmitted, (*Emulator).endOmitted},
 	}[t]
 }
 
@@ -152,3 +157,33 @@
 func (e *Emulator) beginSequenceRestart(_ *Fault, p *party) {
 	e.execute(p, p.model.(*EndpointLog).RestartSequence(e.now))
 }
+
+// beginIdleClosed makes a host that is up close its connections without undecided offers.
+func (e *Emulator) beginIdleClosed(_ *Fault, p *party) {
+	if h, up := p.model.(*Host); up {
+		e.execute(p, h.CloseIdleConnections(e.now))
+	}
+}
+
+func (e *Emulator) beginListedRemoved(f *Fault, p *party) {
+	p.active[f.Type]++
+	e.publish(p)
+}
+
+func (e *Emulator) endListedRemoved(f *Fault, p *party) {
+	p.active[f.Type]--
+	e.publish(p)
+}
+
+// beginOmitted publishes a snapshot without the target. Snapshots for late subscribers leave it out, too, until the
+// fault ends.
+func (e *Emulator) beginOmitted(f *Fault, p *party) {
+	p.active[f.Type]++
+	e.execute(e.logParty, e.log.PublishSnapshotWithout(e.now, p.host.name))
+}
+
+func (e *Emulator) endOmitted(f *Fault, p *party) {
+	p.active[f.Type]--
+	p.host.published = platform.Endpoint{}
+	e.publish(p)
+}
--- a/internal/emulator/platformmodel/parties.go
+++ b/internal/emulator/platformmodel/parties.go
@@ -153,7 +153,7 @@
 		Name: p.host.name, Address: p.listener.address, Zone: spec.Zone, MachineType: spec.MachineType, Cell: spec.Cell,
 		State: platform.Terminated, StartedAtMS: p.host.startedAtMS, Available: []float64{spec.Config.Cores, spec.Config.Memory},
 	}
-	if h, up := p.model.(*Host); up {
+	if h, up := p.model.(*Host); up && p.active[FaultListedRemoved] == 0 {
 		cores, memory := h.Available()
 		e.State, e.Available = platform.InService, []float64{cores, memory}
 	}
--- /dev/null
+++ b/internal/verify/nodechaos/run.go
@@ -0,0 +1,213 @@
+package nodechaos
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	emulator "forkhead/internal/emulator/platform"
+	"forkhead/internal/emulator/platformmodel"
+	"forkhead/internal/verify/noderules"
+)
+
+// Options are the options of Run.
+type Options struct {
+	Command []string // program and arguments that run `forkhead node`
+	Env     []string // variables, as KEY=VALUE, in addition to those of this process
+	Folder  string   // existing folder for the configurations and logs of the placers
+}
+
+// minKillDelay is the time from SIGTERM until a placer may be killed, beyond the longest timeout of a request.
+const minKillDelay = 700 * time.Millisecond
+
+// run is the state of a run.
+type run struct {
+	plan      *Plan
+	emulator  *emulator.Server
+	processes []*process
+
+	mu     sync.Mutex // guards the fields below
+	stalls []noderules.Stall
+	err    error
+}
+
+// Run plays a plan and checks the rules. It returns an error if the run was not valid: a process did not start, or the
+// emulators could not apply a fault.
+func Run(ctx context.Context, plan *Plan, options Options) (*Result, error) {
+	cfg := plan.emulatorConfig()
+	server, err := emulator.Start(cfg)
+	if err != nil {
+		return nil, err
+	}
+	defer server.Stop()
+	r := &run{plan: plan, emulator: server}
+	defer r.killAll()
+	if err := r.startAll(options); err != nil {
+		return nil, err
+	}
+	server.Begin()
+	begin := time.Now()
+	if err := r.play(ctx, begin); err != nil {
+		return nil, err
+	}
+	if err := server.Err(); err != nil {
+		return nil, err
+	}
+	journal := server.Journal()
+	if journal.Dropped > 0 {
+		return nil, fmt.Errorf("the journal has no space for %d records", journal.Dropped)
+	}
+	return r.result(&cfg, server.Requests(), &journal), nil
+}
+
+func (r *run) startAll(options Options) error {
+	if err := os.MkdirAll(options.Folder, 0o700); err != nil {
+		return err
+	}
+	for placer := range r.plan.Placers {
+		p, err := newProcess(&options, placer)
+		if err != nil {
+			return err
+		}
+		r.processes = append(r.processes, p)
+		if err := r.start(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start starts a placer and tells the emulated owners.
+func (r *run) start(p *process) error {
+	if err := p.start(r.plan, r.emulator); err != nil {
+		return err
+	}
+	r.emulator.PlacerStarted(p.placer, p.address)
+	return nil
+}
+
+func (r *run) killAll() {
+	for _, p := range r.processes {
+		p.kill()
+	}
+}
+
+// play sends the signals of the plan and waits for its end. Signals to different placers do not wait for each other.
+func (r *run) play(ctx context.Context, begin time.Time) error {
+	var placers sync.WaitGroup
+	for _, p := range r.processes {
+		placers.Go(func() { r.fail(r.playSignals(ctx, p, begin)) })
+	}
+	err := sleepUntil(ctx, begin.Add(r.plan.Length))
+	placers.Wait()
+	if err != nil {
+		return err
+	}
+	return r.err
+}
+
+// fail records the first error of a run.
+func (r *run) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+// playSignals sends the signals to one placer in the order of their times.
+func (r *run) playSignals(ctx context.Context, p *process, begin time.Time) error {
+	signals := slices.Clone(r.plan.Signals)
+	slices.SortStableFunc(signals, func(a, b Signal) int { return int(a.At - b.At) })
+	for _, s := range signals {
+		if s.Placer != p.placer {
+			continue
+		}
+		if err := sleepUntil(ctx, begin.Add(s.At)); err != nil {
+			return err
+		}
+		if err := r.send(ctx, p, &s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// send sends a signal and restarts the placer if the signal ends it.
+func (r *run) send(ctx context.Context, p *process, s *Signal) error {
+	from := r.emulator.Now()
+	if err := p.signal(s.Signal); err != nil {
+		return err
+	}
+	switch s.Signal {
+	case syscall.SIGTERM:
+		return r.restart(ctx, p, s, from, requestTimeout+minKillDelay)
+	case syscall.SIGKILL:
+		return r.restart(ctx, p, s, from, 0)
+	case syscall.SIGSTOP:
+		if err := sleep(ctx, s.RestartDelay); err != nil {
+			return err
+		}
+		if err := p.signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+		r.addStall(p, from)
+	}
+	return nil
+}
+
+// restart waits until a process has ended, kills it if it has not ended within a time, and starts it again.
+func (r *run) restart(ctx context.Context, p *process, s *Signal, from time.Duration, limit time.Duration) error {
+	select {
+	case <-p.exited:
+	case <-time.After(limit):
+		p.kill()
+	}
+	r.emulator.PlacerStopped(p.placer)
+	if err := sleep(ctx, s.RestartDelay); err != nil {
+		return err
+	}
+	if err := r.start(p); err != nil {
+		return err
+	}
+	r.addStall(p, from)
+	return nil
+}
+
+// addStall records that a placer could not act from a time until now.
+func (r *run) addStall(p *process, from time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stalls = append(r.stalls, noderules.Stall{Placer: p.placer, From: from, To: r.emulator.Now()})
+}
+
+// result checks the rules.
+func (r *run) result(cfg *platformmodel.Config, reports [][]platformmodel.RequestReport, journal *platformmodel.Journal) *Result {
+	check := noderules.Config{
+		Platform: cfg, DrainGrace: drainGrace, SlowStartDuration: slowStartDuration, SlowStartWindow: slowStartWindow,
+		SlowStartMaxOffers: slowStartOffers, Stalls: r.stalls,
+	}
+	for i := range classCount {
+		check.Classes = append(check.Classes, noderules.Class{Effect: classEffects[i], SpreadDomain: spreadDomain, MaxPerDomain: maxPerRack})
+	}
+	result := &Result{Plan: *r.plan, Breaches: noderules.Check(&check, reports, journal)}
+	result.count(reports, journal)
+	return result
+}
+
+func sleep(ctx context.Context, d time.Duration) error { return sleepUntil(ctx, time.Now().Add(d)) }
+
+func sleepUntil(ctx context.Context, at time.Time) error {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/verify/noderules/answers.go
@@ -0,0 +1,159 @@
+package noderules
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"forkhead/internal/emulator/platformmodel"
+	"forkhead/internal/protocol/platform"
+)
+
+// orphanLimit is the time from the notice of a task's end until the task may no longer run at its host, if the host can
+// be reached.
+const orphanLimit = 10 * time.Second
+
+// request is one submission of a request by an owner.
+type request struct {
+	ref          string
+	report       *platformmodel.RequestReport
+	class        Class
+	key          string // idempotency key; "": none
+	placer       int
+	conn         platformmodel.ConnID // connection on which it was submitted
+	sentAt       time.Duration        // when the submission was written; 0: not yet
+	handedOverAt time.Duration        // when its latest hand-over was written; 0: never
+	leftAt       time.Duration        // when the owner withdrew, released or left it; 0: not yet
+	answeredAt   time.Duration        // when the first answer came; 0: not yet
+	placed       bool                 // the first answer says that the task runs
+	releasedAt   time.Duration        // when the first release after that answer came; 0: not yet
+	endedAt      time.Duration        // when its running task ended at its host; 0: it runs, or never ran
+	mayHaveRun   bool                 // a host has received an offer and has not rejected it
+}
+
+func (r *request) service() uint64        { return r.report.Request.Service }
+func (r *request) timeout() time.Duration { return r.report.Request.Timeout }
+
+// handleAtOwner applies an entry that concerns an owner.
+func (c *checker) handleAtOwner(e *entry) {
+	switch e.direction {
+	case writtenByParty:
+		c.handleWrittenByOwner(e)
+	case receivedByParty:
+		if r := c.requests[e.message.Ref]; r != nil {
+			c.handleReceivedByOwner(r, e)
+		}
+	}
+	if e.Event == platformmodel.RecordClosedByPlacer || e.Event == platformmodel.RecordClosedByEmulator {
+		c.handleOwnerClosed(e)
+	}
+}
+
+func (c *checker) handleWrittenByOwner(e *entry) {
+	r := c.requests[e.message.Ref]
+	if r == nil {
+		return
+	}
+	extras, _ := e.message.Text(platform.FieldExtras)
+	switch {
+	case e.message.Type == platform.TypeRelease:
+		r.leave(e.At)
+	case e.message.Type == platform.TypeRequest && isHandOver(extras):
+		r.handedOverAt = e.At
+	case e.message.Type == platform.TypeRequest:
+		r.sentAt, r.conn, r.leftAt = e.At, e.Conn, 0
+	}
+}
+
+func (r *request) leave(at time.Duration) {
+	if r.leftAt == 0 {
+		r.leftAt = at
+	}
+}
+
+// handleReceivedByOwner checks a message to an owner: a request gets one answer, and one release if the answer says that
+// the task runs.
+func (c *checker) handleReceivedByOwner(r *request, e *entry) {
+	switch e.message.Type {
+	case platform.TypeBound:
+		if r.answeredAt > 0 && r.leftAt == 0 {
+			c.breach(e, RuleAnswer, "the owner receives a second answer")
+		}
+		if r.answeredAt == 0 {
+			r.answeredAt, r.placed = e.At, true
+		}
+	case platform.TypeRelease, platform.TypeMigrate:
+		switch {
+		case r.answeredAt == 0:
+			r.answeredAt = e.At
+		case r.placed && r.releasedAt == 0:
+			r.releasedAt = e.At
+		case r.leftAt == 0:
+			c.breach(e, RuleAnswer, "the owner receives a message after the end of the request")
+		}
+	}
+}
+
+// handleOwnerClosed handles the end of an owner's connection, which ends its unanswered requests. If the placer closed
+// it, they are lost.
+func (c *checker) handleOwnerClosed(e *entry) {
+	for _, ref := range c.refs {
+		r := c.requests[ref]
+		if r.conn != e.Conn || r.sentAt == 0 || r.answeredAt > 0 || r.leftAt > 0 {
+			continue
+		}
+		r.leftAt = e.At
+		if e.Event == platformmodel.RecordClosedByPlacer && !c.wasStalled(r.placer, r.sentAt, e.At) {
+			c.breaches = append(c.breaches, Breach{e.At, RuleAnswer, ref, "the placer closes the owner's connection without an answer"})
+		}
+	}
+}
+
+// wasStalled reports whether a placer could not act at some time within a span.
+func (c *checker) wasStalled(placer int, from, to time.Duration) bool {
+	return slices.ContainsFunc(c.cfg.Stalls, func(s Stall) bool { return s.Placer == placer && s.From <= to && s.To >= from })
+}
+
+// checkRequests checks, at the end of the run, that each request was answered in time and that owners were notified of
+// the ends of their tasks.
+func (c *checker) checkRequests() {
+	for _, ref := range c.refs {
+		r := c.requests[ref]
+		add := func(at time.Duration, format string, args ...any) {
+			c.breaches = append(c.breaches, Breach{at, RuleAnswer, ref, fmt.Sprintf(format, args...)})
+		}
+		due := r.sentAt + r.timeout() + answerSlack + limitSlack
+		answeredLate := r.answeredAt > due || r.answeredAt == 0 && c.lastAt > due
+		leftBefore := r.leftAt > 0 && r.leftAt < due
+		if r.sentAt > 0 && answeredLate && !leftBefore && !c.wasStalled(r.placer, r.sentAt, due) {
+			add(due, "no answer within the owner's time; answered at %v", r.answeredAt)
+		}
+		noticeDue := r.endedAt + noticeLimit + limitSlack
+		notified := r.releasedAt > 0 && r.releasedAt <= noticeDue || r.leftAt > 0 && r.leftAt <= noticeDue
+		if r.placed && r.endedAt > 0 && c.lastAt > noticeDue && !notified && !c.wasStalled(r.placer, r.endedAt, noticeDue) {
+			add(noticeDue, "its task ended at %v and its owner was notified at %v", r.endedAt, r.releasedAt)
+		}
+	}
+	c.checkOrphans()
+}
+
+// checkOrphans checks that hosts run no task whose owner was notified of its end long ago by the placer's current
+// incarnation.
+func (c *checker) checkOrphans() {
+	for _, number := range c.hostNumbers {
+		for ref, t := range c.hosts[number].tasks {
+			r := t.request
+			if t.running && r.releasedAt > 0 && c.lastAt > r.releasedAt+orphanLimit && t.offeredAt >= c.placerStartedAt[t.placer] &&
+				!c.hasRecentFault(number) {
+				c.breaches = append(c.breaches, Breach{r.releasedAt, RuleAnswer, ref, fmt.Sprintf(
+					"host %d runs the task at the end of the run, and its owner was notified of its end at %v", number, r.releasedAt)})
+			}
+		}
+	}
+}
+
+// hasRecentFault reports whether a fault of a host was in force within orphanLimit before the end of the run.
+func (c *checker) hasRecentFault(host int) bool {
+	at, had := c.lastFaultAt[host]
+	return had && c.lastAt < at+orphanLimit
+}
