platform: ends of attempts that nothing proves count until the host confirms them

Cause: the core took an inferred end for a proven one. endLostTasks (two refused dials; listed as removed for 0.5 s; 7.5 s without a sign), expireStops (a stop not answered in 1 s), handleHostRestart, connectionLost with an attempt in flight and withdraw all ended the attempt for the module and for the spread check at once, though the process could still run the task; no stop was sent to a lost host, and possibleOrphans sent one only if a connection was open in that very step. Class: an end without proof.

Change: what the owner is told and what counts part. Such an Outcome is Unconfirmed; the module keeps the attempt in the counts of its service, machine and tenant until an EndConfirmed event. The core sends the host a stop on an open connection or the next one, dials it for that, and takes as proof a release, an acknowledgment on the stop's connection, or the result of a probe sent behind the stop on the same connection. Without proof an end is given up 30 s after the list dropped the host; at most 4096 wait. A host that closes its connections in order and refuses new ones keeps its tasks until 7.5 s without a sign (before: two refusals, 0.1 s); a reset still shows that a process ended. A removed host that answers on an open connection keeps its tasks.

Tests changed: TestCoreStopsPlacedTaskEndedByOwnerOrModule wanted no service counted after an unanswered stop, which is the fault; it wants it counted until the host's release and gone after. "host crashes" resets its connection, as the protocol says. TestCoreReleasesHandedOverTaskWhoseHostIsNotListedInTime waits unconfirmedTimeout longer for the host's deletion. Golden files: one more field of Outcome, one more input.

--- a/attempts.go
+++ b/attempts.go
@@ -74,10 +74,10 @@
 		return
 	}
 	p.endAttempt(a)
-	if a.bound {
-		// The reservation of a rejected offer stays announced: it keeps the other placers from offering to a
-		// full machine until the next list update.
-		p.announceCapacity(a, released)
+	if event.Unconfirmed {
+		a.unconfirmed = true
+	} else {
+		p.releaseAttempt(a)
 	}
 	p.applyReport(a.machine, event.Report)
 	p.recordHealth(a.machine, event.Result)
@@ -96,6 +96,22 @@
 	p.forgetIfDone(a.task)
 }
 
+// handleEndConfirmed releases what an attempt with an unconfirmed end still counts for.
+func (p *Placer) handleEndConfirmed(event EndConfirmed) {
+	t := p.tasks[event.Task]
+	if t == nil || event.Attempt < 0 || event.Attempt >= len(t.attempts) {
+		return
+	}
+	a := t.attempts[event.Attempt]
+	if !a.unconfirmed {
+		return
+	}
+	a.unconfirmed = false
+	p.releaseAttempt(a)
+	p.capacityChanged = true
+	p.forgetIfDone(t)
+}
+
 // mayHaveRun reports whether a task may have run if its unbound attempt ended with the result.
 func (r Result) mayHaveRun() bool { return r != Rejected && r != ConnectFailed && r != NotSent }
 
--- a/bookkeeping.go
+++ b/bookkeeping.go
@@ -40,13 +40,16 @@
 	return len(t.attempts) > 0 && !t.attempts[len(t.attempts)-1].ended
 }
 
-// forgetIfDone deletes a task whose final answer is given and whose last attempt has ended.
+// forgetIfDone deletes a task whose final answer is given and whose attempts all count no longer.
 func (p *Placer) forgetIfDone(t *task) {
-	if !t.pending && !p.hasAttemptInFlight(t) {
+	if !t.pending && !slices.ContainsFunc(t.attempts, (*attempt).counts) {
 		delete(p.tasks, t.ID)
 	}
 }
 
+// counts reports whether the attempt counts toward the limits of its service and its machine.
+func (a *attempt) counts() bool { return !a.ended || a.unconfirmed }
+
 // startAttempt creates an attempt and adds it to the counts of its task, machine, service and tenant.
 func (p *Placer) startAttempt(t *task, m *machine) *attempt {
 	a := &attempt{task: t, machine: m, number: len(t.attempts), sentAt: p.now}
@@ -69,10 +72,15 @@
 	}
 }
 
-// endAttempt marks an attempt as ended and removes it from the counts.
+// endAttempt marks an attempt as ended. It counts until releaseAttempt.
 func (p *Placer) endAttempt(a *attempt) {
 	p.markRunning(a)
-	a.ended, a.endedAt = true, p.now
+	a.ended = true
+}
+
+// releaseAttempt removes an ended attempt from the counts of its machine, service and tenant.
+func (p *Placer) releaseAttempt(a *attempt) {
+	a.endedAt = p.now
 	t, m := a.task, a.machine
 	p.reservedCores[t.Tenant] -= t.Cores
 	m.reservedCores -= t.Cores
@@ -87,8 +95,13 @@
 		m.cacheProgram(programID(t.Service))
 	}
 	m.attempts = slices.DeleteFunc(m.attempts, func(old *attempt) bool {
-		return old.ended && (!old.bound || old.endedAt < p.now-changeHistory)
+		return !old.counts() && (!old.bound || old.endedAt < p.now-changeHistory)
 	})
+	if a.bound {
+		// The reservation of a rejected offer stays announced: it keeps the other placers from offering to a
+		// full machine until the next list update.
+		p.announceCapacity(a, released)
+	}
 }
 
 // erroredOn reports whether an attempt of the task ended in an error on the machine. If so, the task is sent to another
@@ -132,10 +145,10 @@
 // far as this placer knows.
 func (m *machine) changesSince(at time.Duration) (cores, memory float64) {
 	for _, a := range m.attempts {
-		if a.sentAt > at && (a.bound || !a.ended) {
+		if a.sentAt > at && (a.bound || a.counts()) {
 			cores, memory = cores+a.task.Cores, memory+a.task.Memory
 		}
-		if a.ended && a.bound && a.endedAt > at {
+		if !a.counts() && a.bound && a.endedAt > at {
 			cores, memory = cores-a.task.Cores, memory-a.task.Memory
 		}
 	}
@@ -218,7 +231,7 @@
 }
 
 func (m *machine) hasLiveAttempt() bool {
-	return slices.ContainsFunc(m.attempts, func(a *attempt) bool { return !a.ended })
+	return slices.ContainsFunc(m.attempts, (*attempt).counts)
 }
 
 // sameDomain reports whether two machines are in the same domain of a level.
--- a/dispatch.go
+++ b/dispatch.go
@@ -17,6 +17,8 @@
 		p.handleNote(event)
 	case Outcome:
 		p.handleOutcome(event)
+	case EndConfirmed:
+		p.handleEndConfirmed(event)
 	case RequestCanceled:
 		p.handleCancel(event.Task)
 	case TimerFired:
--- a/events.go
+++ b/events.go
@@ -54,7 +54,15 @@
 		Reason  RejectReason
 		Took    time.Duration // since the offer
 		Final   bool          // the request needs no answer any more
-		Report  *LoadReport   // nil: none
+		// Unconfirmed says that the machine may still run the task, or may still start it. The attempt counts toward the
+		// limits of its service and its machine until an EndConfirmed event.
+		Unconfirmed bool
+		Report      *LoadReport // nil: none
+	}
+	// EndConfirmed reports that the machine does not run the task of an attempt whose outcome was unconfirmed.
+	EndConfirmed struct {
+		Task    TaskID
+		Attempt int
 	}
 	// RequestCanceled reports that the owner no longer waits for the answer to a request.
 	RequestCanceled struct{ Task TaskID }
@@ -80,6 +88,7 @@
 func (Bound) event()            {}
 func (Note) event()             {}
 func (Outcome) event()          {}
+func (EndConfirmed) event()     {}
 func (RequestCanceled) event()  {}
 func (TimerFired) event()       {}
 func (Probed) event()           {}
--- a/internal/emulator/platformmodel/journal.go
+++ b/internal/emulator/platformmodel/journal.go
@@ -39,7 +39,7 @@
 	RecordOpened                              // a connection was established
 	RecordClosedByPlacer                      // the placer has closed a connection, or a Dial has failed
 	RecordClosedByEmulator                    // the emulator has closed or reset a connection
-	RecordHostUp                              // an incarnation of a host has started
+	RecordHostUp                              // an incarnation of a host has started; Data is its name in the endpoint list
 	RecordHostDown                            // an incarnation of a host has ended
 	RecordFaultBegan                          // a fault has begun at a target; one record for each target
 	RecordFaultEnded                          // a fault has ended at a target; one record for each target
--- a/internal/emulator/platformmodel/parties.go
+++ b/internal/emulator/platformmodel/parties.go
@@ -105,7 +105,7 @@
 	if cold {
 		h.startedAtMS = float64((e.now + h.clockSkew).Milliseconds())
 	}
-	e.recordParty(RecordHostUp, p)
+	e.journal.add(Record{At: e.now, Event: RecordHostUp, Party: p.id, Data: []byte(h.name)})
 	e.updateListener(p)
 	e.publishLater(p)
 }
--- a/internal/scheduler/platform/api.go
+++ b/internal/scheduler/platform/api.go
@@ -70,8 +70,12 @@
 		Connection ConnectionID
 		Data       []byte
 	}
-	// HostDisconnected reports that a connection to a host has ended without a CloseHostConnection of the core.
-	HostDisconnected struct{ Connection ConnectionID }
+	// HostDisconnected reports that a connection to a host has ended without a CloseHostConnection of the core. Reset
+	// means that the host has reset it.
+	HostDisconnected struct {
+		Connection ConnectionID
+		Reset      bool `json:",omitempty"` // traces of earlier versions have no such field
+	}
 	// WatchEventReceived holds a watch event. SequenceRestarted means that the sequence numbers restart with this
 	// event, which is a snapshot.
 	WatchEventReceived struct {
--- a/internal/scheduler/platform/attempt.go
+++ b/internal/scheduler/platform/attempt.go
@@ -16,9 +16,12 @@
 	host         *host
 	connection   *hostConnection // connection on which its offer is queued or in flight; nil: none
 	sentAt       time.Duration   // time at which the offer was sent, or created if it is still queued
+	offeredOn    ConnectionID    // connection on which the offer was sent; 0: it was not sent
 	hasNotes     bool            // the host has sent notes on the task, so it runs the task even if it has not answered the offer
-	stopSent     bool            // a stop of the task was sent to the host
-	stopDeadline time.Duration   // time at which the task counts as stopped even if the host has not answered
+	stop         stopMessageSent // the latest stop of the task
+	mayNotStop   bool            // withdrawing is not allowed, and no answer shows that the host runs the task
+	stopDeadline time.Duration   // time at which the owner's or module's stop is over even if the host has not answered
+	endedAt      time.Duration   // time of an unconfirmed end
 }
 
 // attemptKey identifies an attempt on the wire. Attempts of one request on one host share a key.
@@ -113,6 +116,9 @@
 func (c *Core) addAttempt(a *taskAttempt) {
 	r := a.request
 	r.attempts = append(r.attempts, a)
+	if earlier := a.host.unconfirmed[r.ref]; earlier != nil {
+		c.confirmEnd(earlier) // the host runs at most one task under a ref, which the new attempt counts
+	}
 	a.host.attempts[r.ref] = a
 	c.attemptsByService.Add(r.task.Service, a)
 }
@@ -134,7 +140,7 @@
 		c.endAttempt(a, attemptEnd{input: attempt.Abandoned, result: forkhead.NotSent, final: r.phase != requestOpen})
 		return
 	}
-	a.sentAt = c.now
+	a.sentAt, a.offeredOn = c.now, a.connection.id
 	a.connection.inFlight++
 	a.connection.lastSentAt = c.now
 	r.lifecycle.Handle(a.number, attempt.OfferWritten)
@@ -156,6 +162,8 @@
 	reason forkhead.RejectReason
 	final  bool                 // the request has been answered, so the module has nothing more to decide on it
 	report *forkhead.LoadReport // load report of the host; nil: the host sent none
+	// unconfirmed says that nothing proves that the host does not run the task. The attempt counts until confirmEnd.
+	unconfirmed bool
 }
 
 // endAttempt ends a live attempt and notifies the module of its outcome.
@@ -166,11 +174,15 @@
 	r := a.request
 	a.detach()
 	r.lifecycle.Handle(a.number, end.input)
-	c.removeAttempt(a)
 	c.notifyModule(forkhead.Outcome{
 		Task: r.id, Attempt: a.number, Machine: a.host.id, Result: end.result, Reason: end.reason,
-		Took: c.now - a.sentAt, Final: end.final, Report: end.report,
+		Took: c.now - a.sentAt, Final: end.final, Unconfirmed: end.unconfirmed, Report: end.report,
 	})
+	if end.unconfirmed {
+		c.awaitConfirmation(a)
+	} else {
+		c.removeAttempt(a)
+	}
 	if r.phase != requestOpen {
 		c.finished = append(c.finished, r)
 	}
@@ -205,13 +217,16 @@
 	if a == nil || !a.phase().IsInFlight() {
 		return
 	}
+	end := attemptEnd{input: attempt.Abandoned, result: result, final: final}
 	if a.isInFlight() {
 		if a.connection != nil && c.settings.MayWithdraw {
 			c.emit(SendToHost{Connection: a.connection.id, Line: stopMessage(a.request.ref), Abandons: true})
+			a.stop = stopMessageSent{connection: a.connection, at: c.now}
 		}
 		c.abandoned.add(a.key())
+		end.unconfirmed, a.mayNotStop = true, !c.settings.MayWithdraw
 	}
-	c.endAttempt(a, attemptEnd{input: attempt.Abandoned, result: result, final: final})
+	c.endAttempt(a, end)
 }
 
 // withdrawAll withdraws all attempts of a request that have no outcome yet.
--- a/internal/scheduler/platform/attempt_test.go
+++ b/internal/scheduler/platform/attempt_test.go
@@ -93,7 +93,7 @@
 	"line too long": {stageInFlight, received(strings.Repeat("a", platform.MaxLineSize+1), 0), forkhead.Reset, false, 0},
 	"partial line":  {stageInFlight, received("{", 400*time.Millisecond), forkhead.Reset, false, 0},
 	"connection ends": {
-		stageInFlight, func(w *testCore, conn ConnectionID) { w.step(HostDisconnected{conn}) },
+		stageInFlight, func(w *testCore, conn ConnectionID) { w.step(HostDisconnected{Connection: conn}) },
 		forkhead.Reset, false, 0,
 	},
 	"deadline": {
@@ -113,7 +113,7 @@
 	"evicted": {stagePlaced, released(41, `"note":"killed"`), forkhead.Reset, true, forkhead.Evicted},
 	"stopped": {stagePlaced, released(31, ""), forkhead.Withdrawn, true, 0},
 	"host crashes": {stagePlaced, func(w *testCore, conn ConnectionID) {
-		w.step(HostDisconnected{conn})
+		w.step(HostDisconnected{Connection: conn, Reset: true})
 		for range 8 {
 			w.advance(60 * time.Millisecond)
 			w.failDials(true)
@@ -186,7 +186,7 @@
 	answered     inputOf = func(_ OwnerID, conn ConnectionID) Input { return fromHost(conn, boundLine(ref1)) }
 	answersTwice inputOf = func(_ OwnerID, conn ConnectionID) Input { return fromHost(conn, boundLine(ref1), boundLine(ref1)) }
 	rejected     inputOf = func(_ OwnerID, conn ConnectionID) Input { return fromHost(conn, releaseLine(ref1, 34)) }
-	hostEnds     inputOf = func(_ OwnerID, conn ConnectionID) Input { return HostDisconnected{conn} }
+	hostEnds     inputOf = func(_ OwnerID, conn ConnectionID) Input { return HostDisconnected{Connection: conn} }
 	withdrawn    inputOf = func(owner OwnerID, _ ConnectionID) Input {
 		return OwnerData{owner, []byte(releaseLine(ref1, 16) + "\n")}
 	}
--- a/internal/scheduler/platform/connection.go
+++ b/internal/scheduler/platform/connection.go
@@ -40,6 +40,7 @@
 	inFlight       int            // number of offers sent and not answered
 	queued         []*taskAttempt // attempts whose offers are sent once the connection is open
 	probeQueued    bool           // a probe is sent once the connection is open
+	barrier        barrier        // latest probe that was sent behind stops
 }
 
 // isIdle reports whether an open connection carries no offer.
@@ -131,8 +132,10 @@
 	h := conn.host
 	conn.state, conn.lastSentAt, conn.lastReceivedAt = connectionOpen, c.now, c.now
 	h.lastSeenAliveAt, h.redialBackoff, h.refusedDials = c.now, 0, 0
+	h.wasReset = false
 	c.sendQueued(conn)
 	c.sendDeferredStops(h)
+	c.stopUnconfirmed(h)
 	c.closeSuperseded(conn)
 }
 
@@ -152,7 +155,8 @@
 // sendDeferredStops sends the stops of tasks that were ended while no connection was open. Otherwise a task that its
 // owner has ended would run on.
 func (c *Core) sendDeferredStops(h *host) {
-	for _, a := range h.attemptsWhere(func(a *taskAttempt) bool { return a.request.phase == requestEnding && !a.stopSent }) {
+	deferred := h.attemptsWhere(func(a *taskAttempt) bool { return a.request.phase == requestEnding && a.stop.connection == nil })
+	for _, a := range deferred {
 		c.sendOrDeferStop(a)
 	}
 }
@@ -200,7 +204,7 @@
 		h.refusedDials++
 	}
 	h.lastDialFailedAt = c.now
-	h.redialBackoff = min(max(2*h.redialBackoff, minRedialBackoff), maxRedialBackoff)
+	h.redialBackoff = min(max(2*h.redialBackoff, minRedialBackoff), h.maxRedialBackoff())
 	h.redialAt = c.now + h.redialBackoff
 	c.removeConnection(conn)
 	c.failQueued(conn, attemptEnd{input: attempt.ConnectionLost, result: forkhead.ConnectFailed})
@@ -210,11 +214,26 @@
 	if conn.probeQueued && h.probe != nil {
 		c.finishProbe(h, forkhead.ConnectFailed, nil)
 	}
-	if h.refusedDials >= lostAfterRefusals && (h.entry.State == forkhead.Ready || c.now > h.lastSeenAliveAt+lostAfter) {
+	if h.refusedDials >= lostAfterRefusals && (h.processSeemsEnded() || c.now > h.lastSeenAliveAt+lostAfter) {
 		c.endLostTasks(h, reasonRefusesConnections)
 	}
 }
 
+// maxRedialBackoff returns the bound of the delay before a redial.
+func (h *host) maxRedialBackoff() time.Duration {
+	if h.hasPlacedTasks() {
+		return maxRedialBackoff
+	}
+	return maxUnconfirmedRedialBackoff
+}
+
+// processSeemsEnded reports whether a host that refuses connections looks as if its process had ended: the process
+// reset its connections, as ending processes do, and was not draining, or the endpoint list has it as removed. A host
+// that closed its connections in order may only refuse new ones for some time.
+func (h *host) processSeemsEnded() bool {
+	return h.entry.State == forkhead.Removed || h.entry.State == forkhead.Ready && h.wasReset
+}
+
 // ---- Connection slots.
 
 // usedHostConnections returns the number of connections to hosts that take a slot. Up to maxHalfClosed half-closed
@@ -309,8 +328,7 @@
 		end := attemptEnd{input: attempt.ConnectionLost, result: forkhead.ConnectFailed}
 		if a.isInFlight() {
 			c.abandoned.add(a.key())
-			c.possibleOrphans = append(c.possibleOrphans, possibleOrphan{h, a.request.ref})
-			end.result = forkhead.Reset
+			end.result, end.unconfirmed = forkhead.Reset, true
 		}
 		c.endAttempt(a, end)
 	}
--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -29,7 +29,8 @@
 	requestsByRef     map[requestRef]*request
 	unanswered        int                                     // number of open requests
 	attemptsByService invariant.ServiceAttempts[*taskAttempt] // live attempts
-	possibleOrphans   []possibleOrphan                        // found in the current step; stopped at its end
+	unconfirmedEnds   int                                     // number of attempts with an unconfirmed end
+	newlyUnconfirmed  []*taskAttempt                          // ended unconfirmed in the current step; stopped at its end
 	finished          []*request                              // requests to check for removal at the end of the step
 	abandoned         recent[attemptKey]                      // attempts no longer awaited whose task may run
 	reportedEnds      recent[reportedEnd]                     // ends of tasks, also under unknown refs
@@ -102,7 +103,7 @@
 		c.reconcile()
 	}
 	c.runModule()
-	c.stopPossibleOrphans()
+	c.stopNewlyUnconfirmed()
 	c.removeFinished()
 	return c.outputs
 }
@@ -123,6 +124,7 @@
 		c.receiveFromHost(input)
 	case HostDisconnected:
 		if conn := c.connections[input.Connection]; conn != nil {
+			conn.host.wasReset = input.Reset
 			c.connectionLost(conn)
 		}
 	case WatchEventReceived:
--- a/internal/scheduler/platform/core_test.go
+++ b/internal/scheduler/platform/core_test.go
@@ -65,7 +65,7 @@
 			w.step(fromHost(conn.id, releaseLine(ref, 34)))
 			w.send(o, releaseLine(ref, 16))
 		case 1:
-			w.step(HostDisconnected{conn.id})
+			w.step(HostDisconnected{Connection: conn.id})
 		default:
 			w.step(fromHost(conn.id, boundLine(ref)))
 			w.step(fromHost(conn.id, releaseLine(ref, 16)))
--- a/internal/scheduler/platform/endpoints.go
+++ b/internal/scheduler/platform/endpoints.go
@@ -126,6 +126,7 @@
 	}
 	if entry.State == forkhead.Removed && h.entry.State != forkhead.Removed {
 		h.removedAt = c.now
+		c.probeRemoved(h)
 	}
 	if entry.StartedAt > h.entry.StartedAt && h.address != "" {
 		c.handleHostRestart(h, entry.StartedAt)
@@ -143,14 +144,30 @@
 func (c *Core) handleHostRestart(h *host, startedAt time.Duration) {
 	ended := h.attemptsWhere(func(a *taskAttempt) bool { return a.isPlaced() && a.sentAt < startedAt })
 	for _, a := range ended {
-		c.finishTask(a, platform.CauseReset, attemptEnd{})
+		c.finishTask(a, platform.CauseReset, attemptEnd{unconfirmed: true})
 	}
 	h.redialBackoff, h.redialAt, h.refusedDials = 0, 0, 0
 }
 
+// probeRemoved sends a probe on each open connection to a host with placed tasks that was removed from the list. A
+// process that still runs answers it.
+func (c *Core) probeRemoved(h *host) {
+	if !c.settings.MayProbe || !h.hasPlacedTasks() {
+		return
+	}
+	for _, conn := range h.connections {
+		if conn.state == connectionOpen {
+			c.sendProbeMessage(conn)
+		}
+	}
+}
+
 // closeOutdatedConnections closes the connections to a host that has a new address or is removed. Connections of a
-// removed host with offers in flight stay open, as it may still answer them.
+// removed host stay open if offers are in flight on them or tasks are placed there, as it may still report their ends.
 func (c *Core) closeOutdatedConnections(h *host, state forkhead.MachineState) {
+	if state == forkhead.Removed && h.hasPlacedTasks() {
+		return
+	}
 	for _, conn := range slices.Clone(h.connections) {
 		switch {
 		case conn.isIdle():
--- a/internal/scheduler/platform/handover_test.go
+++ b/internal/scheduler/platform/handover_test.go
@@ -55,6 +55,9 @@
 			t.Errorf("listed %v: got %d dials and lines to the owner %q; want dials and no line if listed, else the one line %q",
 				listed, dials, sent, want)
 		}
+		if !listed {
+			w.run(unconfirmedTimeout, connected, func() {}) // the host may still be listed, with the task, until then
+		}
 		if !listed && (w.core.hosts[9] != nil || w.core.unlistedHosts != 0) {
 			t.Errorf("never listed: host 9 known %v, want false; %d unlisted hosts, want 0", w.core.hosts[9] != nil, w.core.unlistedHosts)
 		}
--- a/internal/scheduler/platform/host.go
+++ b/internal/scheduler/platform/host.go
@@ -23,6 +23,7 @@
 	removedAt     time.Duration    // time since which the endpoint list has had the host as removed
 
 	attempts    map[requestRef]*taskAttempt // live attempts
+	unconfirmed map[requestRef]*taskAttempt // attempts with an unconfirmed end
 	connections []*hostConnection           // connections that are being dialed or are open
 	probe       *probe                      // probe in progress; nil: none
 
@@ -31,10 +32,11 @@
 	redialAt         time.Duration // earliest time of a dial that no offer or probe needs
 	redialBackoff    time.Duration // doubles with each failed dial
 	refusedDials     int           // dials refused in a row while no connection was open
+	wasReset         bool          // the connection that ended last was reset by the host
 }
 
 func newHost(id forkhead.MachineID, name string) *host {
-	return &host{id: id, name: name, attempts: map[requestRef]*taskAttempt{}}
+	return &host{id: id, name: name, attempts: map[requestRef]*taskAttempt{}, unconfirmed: map[requestRef]*taskAttempt{}}
 }
 
 func (h *host) forInvariants() *invariant.Host { return &h.invariantView }
--- a/internal/scheduler/platform/hostmessages.go
+++ b/internal/scheduler/platform/hostmessages.go
@@ -40,6 +40,7 @@
 func (c *Core) handleHostMessage(conn *hostConnection, m *platform.Message) {
 	ref := requestRef(m.Ref)
 	a := conn.host.attempts[ref] // nil: no live attempt on this host has the ref
+	c.handleUnconfirmedMessage(conn, ref, m)
 	switch m.Type {
 	case platform.TypeBound:
 		c.handleBound(conn, ref, a, m)
@@ -54,7 +55,7 @@
 			c.handleNote(a, m)
 		}
 	case platform.TypeProbeResult:
-		c.handleProbeResult(conn.host, ref, m)
+		c.handleProbeResult(conn, ref, m)
 	}
 }
 
@@ -72,7 +73,7 @@
 
 // stopAbandoned stops a task that a host runs although its attempt was abandoned, as nothing else would end it.
 func (c *Core) stopAbandoned(conn *hostConnection, ref requestRef) {
-	if !c.abandoned.contains(attemptKey{conn.host.id, ref}) {
+	if !c.abandoned.contains(attemptKey{conn.host.id, ref}) || conn.host.unconfirmed[ref] != nil {
 		return
 	}
 	if conn.state == connectionHalfClosed {
@@ -256,7 +257,9 @@
 	return report
 }
 
-func (c *Core) handleProbeResult(h *host, ref requestRef, m *platform.Message) {
+func (c *Core) handleProbeResult(conn *hostConnection, ref requestRef, m *platform.Message) {
+	c.handleBarrierResult(conn, ref)
+	h := conn.host
 	if h.probe == nil || !slices.Contains(h.probe.refs, ref) {
 		return
 	}
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -82,9 +82,20 @@
 	// unlistedTimeout is the time after which the tasks of a host that only hand-overs have named are lost. It is below
 	// the 3 s within which misbehaving clients must have an answer.
 	unlistedTimeout = 2500 * time.Millisecond
-	// stopTimeout bounds the wait for a host's answer to the stop of a task. After that time the task counts as
-	// stopped.
+	// stopTimeout bounds the wait for a host's answer to the stop of a task. After that time the request is over, and
+	// the end of the task is unconfirmed.
 	stopTimeout = time.Second
+	// barrierDelay is the time after a stop without an answer after which a probe is sent behind it.
+	barrierDelay = 250 * time.Millisecond
+	// stopRetryDelay is the time after which a stop whose end is still unconfirmed is sent on another connection.
+	stopRetryDelay = time.Second
+	// maxUnconfirmedRedialBackoff bounds the delay before a redial to a host that only has unconfirmed ends.
+	maxUnconfirmedRedialBackoff = 8 * time.Second
+	// unconfirmedTimeout is the time after which an end counts as confirmed if the endpoint list has its host as
+	// removed, or if hosts may not be probed.
+	unconfirmedTimeout = 30 * time.Second
+	// maxUnconfirmedEnds bounds the attempts with unconfirmed ends. Beyond it the oldest of a host counts as confirmed.
+	maxUnconfirmedEnds int = 4096
 )
 
 // Times of the core's periodic checks and of its shutdown.
--- a/internal/scheduler/platform/log.go
+++ b/internal/scheduler/platform/log.go
@@ -11,16 +11,18 @@
 // Log messages. They are constant, so that operators can search for them, and docs/ops/node.md lists them. Variable
 // data is in the attributes.
 const (
-	messageTasksLost         = "tasks lost with their host"
-	messageConnectionClosed  = "connection to a host closed"
-	messageUnusableEndpoint  = "unusable entry of the endpoint list ignored"
-	messageSecondHandOver    = "running task handed over under another ref"
-	messageUnknownTask       = "offer of an unknown task dropped"
-	messageOfferVetoed       = "offer vetoed"
-	messageAnswerVetoed      = "answer vetoed"
-	messageNoAnswer          = "no answer at the deadline of a task"
-	messageOversizedGossip   = "oversized gossip message dropped"
-	messageModuleInterrupted = "module interrupted" // not logged at present, as New sets no limit of rounds
+	messageTasksLost          = "tasks lost with their host"
+	messageConnectionClosed   = "connection to a host closed"
+	messageUnusableEndpoint   = "unusable entry of the endpoint list ignored"
+	messageSecondHandOver     = "running task handed over under another ref"
+	messageUnknownTask        = "offer of an unknown task dropped"
+	messageOfferVetoed        = "offer vetoed"
+	messageAnswerVetoed       = "answer vetoed"
+	messageNoAnswer           = "no answer at the deadline of a task"
+	messageOversizedGossip    = "oversized gossip message dropped"
+	messageUnconfirmedDropped = "too many unconfirmed ends, one counts as confirmed"
+	messageUnconfirmedExpired = "unconfirmed ends of tasks count as confirmed after their time"
+	messageModuleInterrupted  = "module interrupted" // not logged at present, as New sets no limit of rounds
 )
 
 // logReason is the value of the attribute keyReason.
--- a/internal/scheduler/platform/placed.go
+++ b/internal/scheduler/platform/placed.go
@@ -19,23 +19,6 @@
 // migration that the host has reported: in both cases, a hand-over of the ended task is not answered.
 const causeOwnerKnows = platform.CauseMigrated
 
-// possibleOrphan identifies an attempt whose answer was lost with its connection. The host may run the task.
-type possibleOrphan struct {
-	host *host
-	ref  requestRef
-}
-
-// stopPossibleOrphans stops tasks that may run although no answer came, as nothing else would end them. A task that has
-// been offered to the same host again is not stopped, as that host resolves the duplicate.
-func (c *Core) stopPossibleOrphans() {
-	for _, orphan := range c.possibleOrphans {
-		if conn := orphan.host.leastBusyConnection(); conn != nil && orphan.host.attempts[orphan.ref] == nil {
-			c.sendStop(conn, orphan.ref)
-		}
-	}
-	c.possibleOrphans = c.possibleOrphans[:0]
-}
-
 // sendStop instructs a host to drop an offer or to end a task.
 func (c *Core) sendStop(conn *hostConnection, ref requestRef) {
 	c.emit(SendToHost{Connection: conn.id, Line: stopMessage(ref)})
@@ -64,27 +47,24 @@
 // stop on the next one.
 func (c *Core) sendOrDeferStop(a *taskAttempt) {
 	a.stopDeadline = c.now + stopTimeout
-	if conn := a.host.leastBusyConnection(); conn != nil {
-		a.stopSent = true
-		c.sendStop(conn, a.request.ref)
-	}
+	c.sendStopOnOpenConnection(a)
 }
 
 // expireStops ends tasks whose stop was sent and which their host has not confirmed by the deadline of the stop. It
-// also ends tasks whose stop could not be sent within undeliveredTimeout after that deadline.
+// also ends tasks whose stop could not be sent within undeliveredTimeout after that deadline. Either end is unconfirmed.
 func (c *Core) expireStops(h *host) {
 	expired := h.attemptsWhere(func(a *taskAttempt) bool {
 		return a.request.phase == requestEnding &&
-			(a.stopSent && c.now > a.stopDeadline || c.now > a.stopDeadline+undeliveredTimeout)
+			(a.stop.connection != nil && c.now > a.stopDeadline || c.now > a.stopDeadline+undeliveredTimeout)
 	})
 	for _, a := range expired {
-		c.finishTask(a, platform.CauseMigrated, attemptEnd{})
+		c.finishTask(a, platform.CauseMigrated, attemptEnd{unconfirmed: true})
 	}
 }
 
 // finishTask ends a placed task, as its host has reported the end or something else shows that it has ended. It
 // releases the task to its owner, unless the owner or the module has ended the task. Of the parameter end, only the
-// fields reason and report are used.
+// fields reason, report and unconfirmed are used.
 func (c *Core) finishTask(a *taskAttempt, cause platform.Cause, end attemptEnd) {
 	r := a.request
 	cause = endCause(cause)
@@ -119,11 +99,12 @@
 	return platform.CauseReset
 }
 
-// endLostTasks ends the placed tasks of a host that counts as lost, and logs the reason.
+// endLostTasks ends the placed tasks of a host that counts as lost, and logs the reason. The owners are notified, but
+// the ends are unconfirmed: the host may only be unreachable.
 func (c *Core) endLostTasks(h *host, reason logReason) {
 	lost := h.attemptsWhere((*taskAttempt).isPlaced)
 	for _, a := range lost {
-		c.finishTask(a, platform.CauseReset, attemptEnd{})
+		c.finishTask(a, platform.CauseReset, attemptEnd{unconfirmed: true})
 	}
 	if len(lost) > 0 {
 		c.logInfo(messageTasksLost, hostAttr(h.name), reasonAttr(reason), slog.Int(keyTasks, len(lost)))
--- a/internal/scheduler/platform/placed_test.go
+++ b/internal/scheduler/platform/placed_test.go
@@ -33,10 +33,14 @@
 	if got := takeEvents[forkhead.Outcome](w); len(got) != 1 || got[0].Result != forkhead.Withdrawn || !got[0].Final {
 		t.Errorf("ended by the module, without an answer of the host: got outcomes %+v, want one final with result Withdrawn", got)
 	}
-	if len(w.core.requests)+len(w.core.requestsByRef)+len(w.core.attemptsByService) > 0 {
-		t.Errorf("after its end: got %d requests, %d refs and %d services, want none of them",
+	if len(w.core.requests)+len(w.core.requestsByRef) > 0 || len(w.core.attemptsByService) != 1 {
+		t.Errorf("after its unconfirmed end: got %d requests, %d refs and %d services, want 0, 0 and 1",
 			len(w.core.requests), len(w.core.requestsByRef), len(w.core.attemptsByService))
 	}
+	w.step(fromHost(1, releaseLine(ref1, 31)))
+	if got := takeEvents[forkhead.EndConfirmed](w); len(got) != 1 || len(w.core.attemptsByService) != 0 {
+		t.Errorf("after the host's release: got events %+v and %d services, want one EndConfirmed and 0", got, len(w.core.attemptsByService))
+	}
 }
 
 // A task ends after its owner has disconnected. The release is sent on the next connection that a task is placed for,
@@ -58,7 +62,7 @@
 func TestCoreStopsTaskOnNextConnection(t *testing.T) {
 	w := newTestCore(t, nil)
 	o, conn := w.placeTask()
-	w.step(HostDisconnected{conn})
+	w.step(HostDisconnected{Connection: conn})
 	w.wantLines(sentLines[SendToOwner](w.send(o, releaseLine(ref1, 16))), "ack "+ref1)
 	var dials []DialHost
 	for range 40 { // the host accepts no connection for 2 s
--- a/internal/scheduler/platform/reconcile.go
+++ b/internal/scheduler/platform/reconcile.go
@@ -27,6 +27,9 @@
 	if c.expireUnlessListed(h) && len(h.attempts) > 0 {
 		c.reconcileResponsiveness(h)
 	}
+	if len(h.unconfirmed) > 0 {
+		c.reconcileUnconfirmed(h)
+	}
 }
 
 // closeHalfClosed closes half-closed connections that their host has not closed in time.
--- a/internal/scheduler/platform/request_test.go
+++ b/internal/scheduler/platform/request_test.go
@@ -46,7 +46,7 @@
 		}
 		return nil
 	}
-	out = w.step(HostDisconnected{ofType[SendToHost](out)[0].Connection})
+	out = w.step(HostDisconnected{Connection: ofType[SendToHost](out)[0].Connection})
 	w.wantLines(sentLines[SendToOwner](out), "down "+ref1+" 47")
 	if len(ofType[DialHost](out)) > 0 {
 		t.Error("unsafe task that may have run: got a dial for another offer, want none")
--- a/internal/scheduler/platform/testcore_test.go
+++ b/internal/scheduler/platform/testcore_test.go
@@ -262,3 +262,6 @@
 		each()
 	}
 }
+
+// requestNumber returns the ref of the request with a number.
+func requestNumber(number int) string { return fmt.Sprintf("%016x", number+1) }
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -25,7 +25,7 @@
 // addUnlistedHost adds a host that an owner names before the endpoint list does. It returns nil if there are too many
 // such hosts.
 func (c *Core) addUnlistedHost(id forkhead.MachineID, name string) *host {
-	if c.unlistedHosts >= maxUnlistedHosts {
+	if c.unlistedHosts >= maxUnlistedHosts && !c.removeUnlistedWithoutTasks() {
 		return nil
 	}
 	c.unlistedHosts++
@@ -36,30 +36,66 @@
 	return h
 }
 
+// removeUnlistedWithoutTasks deletes an unlisted host that has only unconfirmed ends, and reports whether there was one.
+func (c *Core) removeUnlistedWithoutTasks() bool {
+	for _, h := range c.hostsInOrder() {
+		if h.unlistedSince == 0 || len(h.attempts) > 0 {
+			continue
+		}
+		for _, a := range h.unconfirmedInOrder() {
+			c.confirmEnd(a)
+		}
+		c.unlistedHosts--
+		c.removeHost(h)
+		return true
+	}
+	return false
+}
+
 // expireUnlisted ends the tasks of a host that is not listed in time as lost. A host without attempts is deleted
 // at once.
 func (c *Core) expireUnlisted(h *host) {
 	if c.now > h.unlistedSince+unlistedTimeout {
 		c.endLostTasks(h, reasonNotListed)
 	}
-	if len(h.attempts) == 0 {
+	if len(h.attempts) == 0 && len(h.unconfirmed) == 0 {
 		c.unlistedHosts--
 		c.removeHost(h)
 	}
 }
 
-// expireRemoved ends the tasks of a removed host as lost once removedGrace is over, and deletes the host after
-// removeHostAfter.
+// expireRemoved ends the tasks of a removed host as lost once removedGrace is over, unless its process still sends
+// messages. It deletes the host after removeHostAfter.
 func (c *Core) expireRemoved(h *host) {
 	if c.now <= h.removedAt+removedGrace {
 		return
 	}
-	c.endLostTasks(h, reasonRemoved)
-	if c.now > h.removedAt+removeHostAfter && len(h.attempts) == 0 && len(h.connections) == 0 {
+	if h.isAliveAfterRemoval() {
+		c.reconcileResponsiveness(h)
+	} else {
+		c.endLostTasks(h, reasonRemoved)
+	}
+	isUnused := len(h.attempts) == 0 && len(h.unconfirmed) == 0 && len(h.connections) == 0
+	if c.now > h.removedAt+removeHostAfter && isUnused {
 		c.removeHost(h)
 	}
 }
 
+// isAliveAfterRemoval reports whether a host that the endpoint list has as removed has sent something since then, on a
+// connection that is still open. Such a list is wrong, or early.
+func (h *host) isAliveAfterRemoval() bool {
+	return h.leastBusyConnection() != nil && h.lastReceivedAt() > h.removedAt
+}
+
+// lastReceivedAt returns the last time at which something was received on a connection that is open.
+func (h *host) lastReceivedAt() time.Duration {
+	last := time.Duration(0)
+	for _, conn := range h.connections {
+		last = max(last, conn.lastReceivedAt)
+	}
+	return last
+}
+
 // reconcileResponsiveness dials a host with placed tasks that sends nothing or has no open connection, to see whether
 // it is alive. If it has accepted no connection for too long, its tasks count as lost.
 func (c *Core) reconcileResponsiveness(h *host) {
--- a/internal/server/platform/hosts.go
+++ b/internal/server/platform/hosts.go
@@ -116,18 +116,19 @@
 }
 
 // Closed handles the end of the connection.
-func (c *hostConnection) Closed(*netio.Conn, error) {
+func (c *hostConnection) Closed(_ *netio.Conn, reason error) {
 	c.hosts.lingerer.remove(&c.connection)
-	c.hosts.inputs.loop.Post(c.disconnected)
+	wasReset := errors.Is(reason, syscall.ECONNRESET) || errors.Is(reason, syscall.EPIPE)
+	c.hosts.inputs.loop.Post(func() { c.disconnected(wasReset) })
 }
 
 // disconnected notifies the core that the connection has ended, unless the core has closed it or was notified already.
 // It must be called on the event loop.
-func (c *hostConnection) disconnected() {
+func (c *hostConnection) disconnected(wasReset bool) {
 	if c.closed {
 		return
 	}
 	c.closed = true
 	delete(c.hosts.open, c.id)
-	c.hosts.inputs.add(platformcore.HostDisconnected{Connection: c.id})
+	c.hosts.inputs.add(platformcore.HostDisconnected{Connection: c.id, Reset: wasReset})
 }
--- a/internal/verify/noderules/answers.go
+++ b/internal/verify/noderules/answers.go
@@ -119,34 +119,49 @@
 func (c *checker) checkRequests() {
 	for _, ref := range c.refs {
 		r := c.requests[ref]
-		add := func(at time.Duration, format string, args ...any) {
-			c.breaches = append(c.breaches, Breach{at, RuleAnswer, ref, fmt.Sprintf(format, args...)})
+		if r.sentAt > 0 {
+			c.checkAnswered(r)
 		}
-		due := r.sentAt + r.timeout() + answerSlack + limitSlack
-		answeredLate := r.answeredAt > due || r.answeredAt == 0 && c.lastAt > due
-		leftBefore := r.leftAt > 0 && r.leftAt < due
-		if r.sentAt > 0 && answeredLate && !leftBefore && !c.wasStalled(r.placer, r.sentAt, due) {
-			add(due, "no answer within the owner's time; answered at %v", r.answeredAt)
-		}
-		noticeDue := r.endedAt + noticeLimit + limitSlack
-		notified := r.releasedAt > 0 && r.releasedAt <= noticeDue || r.leftAt > 0 && r.leftAt <= noticeDue
-		if r.placed && r.endedAt > 0 && c.lastAt > noticeDue && !notified && !c.wasStalled(r.placer, r.endedAt, noticeDue) {
-			add(noticeDue, "its task ended at %v and its owner was notified at %v", r.endedAt, r.releasedAt)
+		if r.placed && r.endedAt > 0 {
+			c.checkEndNotified(r)
 		}
 	}
 	c.checkOrphans()
 }
 
+func (c *checker) checkAnswered(r *request) {
+	due := r.sentAt + r.timeout() + answerSlack + limitSlack
+	isLate := r.answeredAt > due || r.answeredAt == 0 && c.lastAt > due
+	leftBefore := r.leftAt > 0 && r.leftAt < due
+	if isLate && !leftBefore && !c.wasStalled(r.placer, r.sentAt, due) {
+		c.breachAt(due, r, "no answer within the owner's time; answered at %v", r.answeredAt)
+	}
+}
+
+func (c *checker) checkEndNotified(r *request) {
+	due := r.endedAt + noticeLimit + limitSlack
+	isNotified := r.releasedAt > 0 && r.releasedAt <= due || r.leftAt > 0 && r.leftAt <= due
+	if c.lastAt > due && !isNotified && !c.wasStalled(r.placer, r.endedAt, due) {
+		c.breachAt(due, r, "its task ended at %v and its owner was notified at %v", r.endedAt, r.releasedAt)
+	}
+}
+
+// breachAt records a breach of RuleAnswer that was found at the end of the run.
+func (c *checker) breachAt(at time.Duration, r *request, format string, args ...any) {
+	c.breaches = append(c.breaches, Breach{at, RuleAnswer, r.ref, fmt.Sprintf(format, args...)})
+}
+
 // checkOrphans checks that hosts run no task whose owner was notified of its end long ago by the placer's current
 // incarnation.
 func (c *checker) checkOrphans() {
 	for _, number := range c.hostNumbers {
-		for ref, t := range c.hosts[number].tasks {
+		if c.hasRecentFault(number) {
+			continue
+		}
+		for _, t := range c.hosts[number].tasks {
 			r := t.request
-			if t.running && r.releasedAt > 0 && c.lastAt > r.releasedAt+orphanLimit && t.offeredAt >= c.placerStartedAt[t.placer] &&
-				!c.hasRecentFault(number) {
-				c.breaches = append(c.breaches, Breach{r.releasedAt, RuleAnswer, ref, fmt.Sprintf(
-					"host %d runs the task at the end of the run, and its owner was notified of its end at %v", number, r.releasedAt)})
+			if t.running && r.releasedAt > 0 && c.lastAt > r.releasedAt+orphanLimit && t.offeredAt >= c.placerStartedAt[t.placer] {
+				c.breachAt(r.releasedAt, r, "host %d runs the task at the end of the run, and its owner was notified of its end at %v", number, r.releasedAt)
 			}
 		}
 	}
--- a/internal/verify/noderules/checker.go
+++ b/internal/verify/noderules/checker.go
@@ -17,7 +17,6 @@
 	refs            []string            // keys of requests, sorted
 	hosts           map[int]*hostRecord // by number
 	hostNumbers     []int
-	hostNames       map[int]string
 	withdrawn       map[withdrawal]bool
 	placerStartedAt map[int]time.Duration // start of each placer's current incarnation
 	lastFaultAt     map[int]time.Duration // by number of the host: when a fault last began or ended
@@ -27,13 +26,12 @@
 
 func newChecker(cfg *Config, reports [][]platformmodel.RequestReport) *checker {
 	c := &checker{
-		cfg: cfg, requests: map[string]*request{}, hosts: map[int]*hostRecord{}, hostNames: map[int]string{},
+		cfg: cfg, requests: map[string]*request{}, hosts: map[int]*hostRecord{},
 		withdrawn: map[withdrawal]bool{}, placerStartedAt: map[int]time.Duration{}, lastFaultAt: map[int]time.Duration{},
 	}
 	for i := range cfg.Platform.Hosts {
 		c.hosts[i] = newHostRecord()
 		c.hostNumbers = append(c.hostNumbers, i)
-		c.hostNames[i] = fmt.Sprintf("s-%08x", i+1)
 	}
 	for i := range reports {
 		for j := range reports[i] {
--- a/internal/verify/noderules/offers.go
+++ b/internal/verify/noderules/offers.go
@@ -154,7 +154,7 @@
 			c.notify(e, &event.Endpoints.Hosts[i])
 		}
 		for _, number := range c.hostNumbers {
-			if event.Endpoints.Snapshot && !listed[c.hostNames[number]] {
+			if event.Endpoints.Snapshot && !listed[c.hosts[number].name] {
 				c.markDraining(e, c.hosts[number])
 			}
 		}
@@ -164,7 +164,7 @@
 // notify records what an entry of the endpoint list tells a placer.
 func (c *checker) notify(e *entry, endpoint *platform.Endpoint) {
 	for _, number := range c.hostNumbers {
-		if c.hostNames[number] != endpoint.Name {
+		if c.hosts[number].name != endpoint.Name {
 			continue
 		}
 		h := c.hosts[number]
--- a/internal/verify/noderules/tasks.go
+++ b/internal/verify/noderules/tasks.go
@@ -19,6 +19,7 @@
 
 // hostRecord is what the checker keeps of a host.
 type hostRecord struct {
+	name       string                // in the endpoint list
 	tasks      map[string]*task      // by ref
 	upAt       time.Duration         // start of the current incarnation, if it is not the first; else 0
 	slowOffers []time.Duration       // offers during slow start from placers that knew of the start
@@ -52,13 +53,20 @@
 	case platformmodel.RecordHostDown:
 		h.endAll(e.At)
 	case platformmodel.RecordHostUp:
-		h.upAt, h.slowOffers = e.At, nil
-		h.startKnown = map[int]time.Duration{}
+		h.start(e)
 	case platformmodel.RecordFaultBegan, platformmodel.RecordFaultEnded:
 		h.countNotReading(e)
 	}
 }
 
+// start resets what belongs to the earlier incarnation of a host. A machine that replaces another has its own name.
+func (h *hostRecord) start(e *entry) {
+	h.upAt, h.slowOffers, h.startKnown = e.At, nil, map[int]time.Duration{}
+	if name := string(e.Data); name != h.name {
+		h.name, h.drainingAt = name, map[int]time.Duration{}
+	}
+}
+
 func (h *hostRecord) countNotReading(e *entry) {
 	if e.Fault != platformmodel.FaultNotReading {
 		return
--- a/internal/verify/platformreplay/format_test.go
+++ b/internal/verify/platformreplay/format_test.go
@@ -31,6 +31,7 @@
 		platformcore.HostData{Connection: 6, Data: []byte("\xbc\xff\xed\xa0\x80")},
 		platformcore.HostData{Connection: 6, Data: []byte{}},
 		platformcore.HostDisconnected{Connection: 7},
+		platformcore.HostDisconnected{Connection: 8, Reset: true},
 		platformcore.WatchEventReceived{Event: testEvent(8, true, platform.Terminated), SequenceRestarted: true},
 		platformcore.WatchEventReceived{Event: platform.WatchEvent{Seq: 1<<64 - 1}},
 		platformcore.GossipReceived{From: 9, Data: []byte{0, 0xff}},
--- a/internal/verify/platformsim/conn.go
+++ b/internal/verify/platformsim/conn.go
@@ -128,7 +128,7 @@
 	for _, t := range c.attempts {
 		t.knownOver = t.knownOver || !t.knownBound
 	}
-	c.placer.step(platformcore.HostDisconnected{Connection: c.id})
+	c.placer.step(platformcore.HostDisconnected{Connection: c.id, Reset: true})
 }
 
 // sendToHost sends a message to the host. An offer is not delivered if the placer has closed the connection by then.
--- a/state.go
+++ b/state.go
@@ -151,6 +151,7 @@
 	bound        bool // the machine has bound the task
 	running      bool // the task runs
 	ended        bool
+	unconfirmed  bool // ended, but the machine may still run the task, so the attempt still counts
 	unresponsive bool // reported as an outlier, since the machine answers but not this attempt
 	errored      bool // the machine returned an error
 }
