platform: a request that waited while the process was stalled keeps only the time its owner has left

What callers saw: a placer stopped (SIGSTOP) for up to 3 s told hosts more time than the owners had left, up to the whole length of the stop; hosts then started tasks whose owners had given up.

Cause: openRequest counts an owner's time from the step that handles its bytes (request.go, Deadline: now + Timeout). Bytes that came while the process did not run had waited in the socket for as long as it was away.

Change: the shell notices a step that comes 50 ms late and marks what owners sent and is read within the next 100 ms with the time since the step before; the core takes it off the request's time, and rejects a request with none left as busy (42), as no attempt was made. It errs to less time.

The soak's check also judged what emulated owners or hosts read late because of their own faults (unread, half-open, partition): the bytes had come in time and waited in the kernel.

--- a/internal/scheduler/platform/api.go
+++ b/internal/scheduler/platform/api.go
@@ -49,10 +49,12 @@
 type (
 	// OwnerConnected reports that an owner has connected.
 	OwnerConnected struct{ Owner OwnerID }
-	// OwnerData holds bytes received from an owner. The core does not retain Data.
+	// OwnerData holds bytes received from an owner. The core does not retain Data. Age is how long the bytes may have
+	// waited to be read, as this process did not run.
 	OwnerData struct {
 		Owner OwnerID
 		Data  []byte
+		Age   time.Duration
 	}
 	// OwnerDisconnected reports that an owner's connection has ended without a CloseOwnerConnection of the core.
 	OwnerDisconnected struct{ Owner OwnerID }
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -12,6 +12,9 @@
 	// maxRequestTimeout is the longest time that a request may allow for its answer. A request with a longer one is
 	// malformed.
 	maxRequestTimeout = 60 * 24 * time.Hour
+	// minRequestTimeout is the least time that an owner must still wait when its request is read. With less, the request
+	// is rejected as busy, as no attempt could be answered in time.
+	minRequestTimeout = time.Millisecond
 	// maxLifetimeMillis is the longest remaining lifetime that a request may state, in milliseconds. A longer one is
 	// ignored.
 	maxLifetimeMillis float64 = 1e12
--- a/internal/scheduler/platform/owner.go
+++ b/internal/scheduler/platform/owner.go
@@ -14,6 +14,7 @@
 	reader            lineReader
 	acceptedAt        time.Duration
 	lastUsedAt        time.Duration // last time the owner sent a readable message
+	dataAge           time.Duration // how long the data that is being handled may have waited to be read
 	sentValid         bool          // the owner has sent a valid message
 	malformedRequests int           // number of malformed requests that the owner has sent
 	openRequests      map[*request]struct{}
--- a/internal/scheduler/platform/ownermessages.go
+++ b/internal/scheduler/platform/ownermessages.go
@@ -7,6 +7,7 @@
 	if owner == nil {
 		return
 	}
+	owner.dataAge = input.Age
 	err := owner.reader.feed(c.now, input.Data, func(line []byte) error {
 		if c.owners[owner.id] == owner && len(line) > 0 { // an earlier line may have closed the connection
 			c.handleOwnerLine(owner, line)
@@ -96,7 +97,8 @@
 
 func (c *Core) handleNewRequest(owner *ownerConnection, decoded *decodedRequest, m *platform.Message) {
 	owner.sentValid = true
-	if c.isBusy(owner) {
+	decoded.task.Timeout -= owner.dataAge
+	if c.isBusy(owner) || decoded.task.Timeout < minRequestTimeout {
 		c.emit(SendToOwner{owner.id, releaseMessage(decoded.ref, platform.CauseBusy)})
 		return
 	}
--- a/internal/scheduler/platform/request_test.go
+++ b/internal/scheduler/platform/request_test.go
@@ -167,3 +167,17 @@
 		}
 	}
 }
+
+// A request that has waited to be read is offered with the rest of its time, and rejected if none is left.
+func TestCoreSubtractsAgeOfRequestFromItsTime(t *testing.T) {
+	w := newTestCore(t, nil)
+	owner := w.connectOwner()
+	w.step(OwnerData{Owner: owner, Data: []byte(requestLine(ref1, "unsafe", "") + "\n"), Age: 900 * time.Millisecond})
+	offers := ofType[SendToHost](w.connectDialed())
+	if len(offers) != 1 || string(fieldsOf(offers[0].Line)["left"]) != `"600"` {
+		t.Fatalf("request of 1.5 s that waited 0.9 s: got outputs %v, want one offer with 600 ms left", w.outputs)
+	}
+	out := w.step(OwnerData{Owner: owner, Data: []byte(requestLine(ref2, "unsafe", "") + "\n"), Age: 1500 * time.Millisecond})
+	w.wantLines(sentLines[SendToOwner](out), "down "+ref2+" 42")
+	w.wantLines(sentLines[SendToHost](out))
+}
--- a/internal/server/platform/recordinghost_test.go
+++ b/internal/server/platform/recordinghost_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"forkhead/internal/protocol/platform"
 )
@@ -83,6 +84,27 @@
 	return count
 }
 
+// offeredTime returns the time that the host was told in the first offer of a task.
+func (h *recordingHost) offeredTime(t *testing.T, ref string) time.Duration {
+	t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.conns {
+		for _, m := range c.received {
+			if m.Type == platform.TypeRequest && m.Ref == ref {
+				text, _ := m.Text(platform.FieldTimeout)
+				left, err := time.ParseDuration(text + "ms")
+				if err != nil {
+					t.Fatalf("time in the offer of %s: %v", ref, err)
+				}
+				return left
+			}
+		}
+	}
+	t.Fatalf("the host has no offer of %s", ref)
+	return 0
+}
+
 // lastOfferConn returns the newest connection with an offer of the task, or nil if the task was not offered.
 func (h *recordingHost) lastOfferConn(ref string) *recordedConn {
 	h.mu.Lock()
--- a/internal/server/platform/server.go
+++ b/internal/server/platform/server.go
@@ -62,6 +62,7 @@
 	hosts    *hostConnections
 	lingerer *lingerer
 	shutdown *shutdown
+	stalls   stallDetector
 
 	cancel    context.CancelFunc // ends the watch, and accept's wait for a slot
 	closeOnce sync.Once
@@ -169,13 +170,18 @@
 
 // step steps the core with the queued inputs and executes its outputs. It is the event loop's Step.
 func (s *Server) step(now time.Duration) (next time.Duration, ok bool) {
-	out := s.stepCore(now, s.inputs.take())
+	inputs := s.inputs.take()
+	s.stalls.observe(now)
+	s.stalls.setAges(now, inputs)
+	out := s.stepCore(now, inputs)
 	for _, output := range out {
 		s.execute(output)
 	}
 	s.writes.flush()
 	s.shutdown.update(now, s.isFlushed)
-	return s.core.Next(), true
+	next = s.core.Next()
+	s.stalls.stepped(now, next)
+	return next, true
 }
 
 // stepCore steps the core and passes the step to the tap, even if the core panics.
--- a/internal/verify/noderules/checker.go
+++ b/internal/verify/noderules/checker.go
@@ -20,6 +20,7 @@
 	withdrawn       map[withdrawal]bool
 	placerStartedAt map[int]time.Duration // start of each placer's current incarnation
 	lastFaultAt     map[int]time.Duration // by number of the host: when a fault last began or ended
+	notReading      map[int][]Stall       // by number of the owner: when a fault kept it from reading
 	lastAt          time.Duration
 	breaches        []Breach
 }
@@ -28,6 +29,7 @@
 	c := &checker{
 		cfg: cfg, requests: map[string]*request{}, hosts: map[int]*hostRecord{},
 		withdrawn: map[withdrawal]bool{}, placerStartedAt: map[int]time.Duration{}, lastFaultAt: map[int]time.Duration{},
+		notReading: map[int][]Stall{},
 	}
 	for i := range cfg.Platform.Hosts {
 		c.hosts[i] = newHostRecord()
--- a/internal/verify/platformreplay/inputs.go
+++ b/internal/verify/platformreplay/inputs.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	platformcore "forkhead/internal/scheduler/platform"
 )
@@ -25,7 +26,8 @@
 type ownerData struct {
 	Data  string
 	Owner platformcore.OwnerID
-	Bytes []byte `json:",omitempty"` // nil if Data is valid UTF-8
+	Bytes []byte        `json:",omitempty"` // nil if Data is valid UTF-8
+	Age   time.Duration `json:",omitempty"` // nanoseconds
 }
 
 // hostData is the value of a line of type platform.HostData.
@@ -42,7 +44,7 @@
 	case platformcore.OwnerConnected:
 		return typeOwnerConnected, in
 	case platformcore.OwnerData:
-		return typeOwnerData, ownerData{Owner: in.Owner, Data: string(in.Data), Bytes: exactBytes(in.Data)}
+		return typeOwnerData, ownerData{Owner: in.Owner, Data: string(in.Data), Bytes: exactBytes(in.Data), Age: in.Age}
 	case platformcore.OwnerDisconnected:
 		return typeOwnerDisconnected, in
 	case platformcore.HostConnected:
@@ -70,7 +72,7 @@
 		return decodeAs[platformcore.OwnerConnected](l)
 	case typeOwnerData:
 		v, err := decodeAs[ownerData](l)
-		return platformcore.OwnerData{Owner: v.Owner, Data: originalBytes(v.Data, v.Bytes)}, err
+		return platformcore.OwnerData{Owner: v.Owner, Data: originalBytes(v.Data, v.Bytes), Age: v.Age}, err
 	case typeOwnerDisconnected:
 		return decodeAs[platformcore.OwnerDisconnected](l)
 	case typeHostConnected:
