store: an intact file is quarantined no more when the disk is full or fails

Cause: Open quarantined the file on every error of open() but a lock timeout (store.go, Open), also when only the rewrite failed; a failed read of bbolt, which drops the errno, counted as damage; syncDirectory ignored a folder that could not be opened.

Change: errors of the system (an errno) are no damage. An intact file that cannot be rewritten is read and opened as it is; before a quarantine all bytes of the file must be readable; otherwise Open fails and the file stays.

--- a/internal/server/store/file.go
+++ b/internal/server/store/file.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -48,6 +49,28 @@
 	return loader, counts, syncDirectory(filepath.Dir(path))
 }
 
+// read reads all of the file at path and returns its keys and their stored number. Unlike rewrite it leaves unreadable
+// keys in the file.
+func read(path string) (*durable.Loader, keyCounts, error) {
+	loader, counts := durable.NewLoader(), keyCounts{}
+	err := ForEach(path, func(bucket durable.Bucket, key string, value []byte) error {
+		loader.Add(bucket, key, value)
+		counts[bucket]++
+		return nil
+	})
+	return loader, counts, err
+}
+
+// checkReadable reads all bytes of the file at path. bbolt reports some failures to read as damage.
+func checkReadable(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, file)
+	return errors.Join(err, file.Close())
+}
+
 // copyReadableKeys copies the keys with readable values from the file at path, and passes all keys to the loader.
 // counts becomes the number of copied keys.
 func copyReadableKeys(tx *bbolt.Tx, counts keyCounts, loader *durable.Loader, path string) error {
@@ -70,11 +93,11 @@
 	return putCounts(tx, counts)
 }
 
-// syncDirectory makes the entries of a directory durable. A directory that cannot be opened is ignored.
+// syncDirectory makes the entries of a directory durable.
 func syncDirectory(path string) error {
 	directory, err := os.Open(path)
 	if err != nil {
-		return nil
+		return err
 	}
 	return errors.Join(directory.Sync(), directory.Close())
 }
--- a/internal/server/store/store.go
+++ b/internal/server/store/store.go
@@ -8,6 +8,7 @@
 	"maps"
 	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -46,9 +47,10 @@
 }
 
 // Open opens the store at options.Path, or creates it, and returns its content. Keys whose values cannot be read are
-// listed in Snapshot.Unreadable and dropped. A file that cannot be read as a whole, or not be rewritten, is
-// quarantined, and the store starts empty. Open fails if another process has the file open for longer than lockTimeout,
-// 2 seconds.
+// listed in Snapshot.Unreadable and dropped. A file whose content is damaged is quarantined, and the store starts empty.
+// An intact file that cannot be rewritten, as the disk is full or fails, is opened as it is. Open fails if another
+// process has the file open for longer than lockTimeout, 2 seconds, or if the file system fails otherwise; the file then
+// stays where it is.
 func Open(options Options) (*Store, *durable.Snapshot, error) {
 	if options.MaxBytes == 0 {
 		options.MaxBytes = DefaultMaxBytes
@@ -61,9 +63,12 @@
 	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, nil, fmt.Errorf("store %s: another process has it open: %w", options.Path, err)
 	}
-	if _, statErr := os.Stat(options.Path); statErr != nil {
+	if isSystemError(err) {
 		return nil, nil, fmt.Errorf("store %s: %w", options.Path, err)
 	}
+	if readErr := checkReadable(options.Path); readErr != nil {
+		return nil, nil, fmt.Errorf("store %s: %w", options.Path, errors.Join(err, readErr))
+	}
 	if renameErr := s.quarantine(); renameErr != nil {
 		return nil, nil, fmt.Errorf("store %s cannot be read (%w) or renamed: %w", options.Path, err, renameErr)
 	}
@@ -74,6 +79,13 @@
 	return s, snapshot, nil
 }
 
+// isSystemError reports whether an error comes from the operating system, such as ENOSPC or EIO, and says nothing about
+// the content of a file.
+func isSystemError(err error) bool {
+	var number syscall.Errno
+	return errors.As(err, &number)
+}
+
 // quarantine renames the file, so that it is kept and not written to.
 func (s *Store) quarantine() error {
 	suffix := time.Now().UTC().Format("20060102T150405.000")
@@ -84,9 +96,13 @@
 	return os.Rename(s.options.Path, s.QuarantinedAs)
 }
 
-// open rewrites the file, which checks all of it, and opens the result.
+// open rewrites the file, which checks all of it, and opens the result. If the file system prevents that, it reads the
+// file and opens it as it is.
 func (s *Store) open() (*durable.Snapshot, error) {
 	loader, counts, err := rewrite(s.options.Path)
+	if isSystemError(err) {
+		loader, counts, err = read(s.options.Path)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/server/store/store_test.go
+++ b/internal/server/store/store_test.go
@@ -220,6 +220,41 @@
 	}
 }
 
+// An intact file that cannot be rewritten keeps its place and its content, and takes further commits.
+func TestOpenKeepsIntactFileThatCannotBeRewritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.db")
+	s, _ := openStore(t, path, 0)
+	commit(t, s, submissionAccepted("1"))
+	closeStore(t, s)
+	// A folder with content in the place of the new file makes the rewrite fail with an error of the system.
+	if err := os.MkdirAll(filepath.Join(path+".new", "in the way"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"2", "3"} {
+		s, snapshot := openStore(t, path, 0)
+		if s.QuarantinedAs != "" || len(snapshot.Submissions) != int(id[0]-'1') || len(snapshot.Unreadable) > 0 {
+			t.Fatalf("Open before commit %s: quarantined as %q, %d submissions, unreadable %v; want no quarantine, %d submissions and none",
+				id, s.QuarantinedAs, len(snapshot.Submissions), snapshot.Unreadable, id[0]-'1')
+		}
+		commit(t, s, submissionAccepted(id))
+		closeStore(t, s)
+	}
+}
+
+// Open fails, and leaves the file where it is, if the file system does not let it read the file.
+func TestOpenFailsOnSystemErrorWithoutQuarantine(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.db")
+	if err := os.Mkdir(path, 0o700); err != nil { // reading a folder as a file fails with EISDIR
+		t.Fatal(err)
+	}
+	if _, _, err := Open(Options{Path: path}); err == nil || !isSystemError(err) {
+		t.Errorf("Open of a folder: got error %v, want an error of the system", err)
+	}
+	if _, err := os.Stat(path); err != nil {
+		t.Errorf("after Open: got error %v, want the path as it was", err)
+	}
+}
+
 // BenchmarkStoreCommit measures the commit of a step's records: one fsync for 1, 10 or 100 placement requests.
 func BenchmarkStoreCommit(b *testing.B) {
 	for _, requests := range []int{1, 10, 100} {
