core: a Holds frame that names an unsent attempt closes the connection and crashes the placer no more

Cause: handleReportedTask closes the connection of a host that lists an attempt whose offer was not sent; handleHolds then went on with the next entry, which writes to reportedRefs, nil by then (hostconns.go). Change: the entries behind such a one are ignored. Result: TestCoreIgnoresHoldsEntriesBehindUnsentAttempt panics without the change ("assignment to entry in nil map") and passes.

--- a/internal/scheduler/core/hostconns.go
+++ b/internal/scheduler/core/hostconns.go
@@ -126,8 +126,12 @@
 		return
 	}
 	h.unreportedTasks -= len(f.Held)
+	conn := h.connection.Conn
 	for i := range f.Held {
 		c.handleReportedTask(h, &f.Held[i])
+		if h.connection.Conn != conn || h.connection.State != hostconn.Up { // the entry violated the protocol
+			return
+		}
 	}
 	if h.unreportedTasks == 0 {
 		c.completeSync(h)
--- a/internal/scheduler/core/hostconns_test.go
+++ b/internal/scheduler/core/hostconns_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"forkhead/internal/emulator/hostmodel"
+	"forkhead/internal/protocol/hostproto"
 	"forkhead/internal/scheduler/core"
 	"forkhead/internal/verify/simulation"
 )
@@ -94,3 +95,31 @@
 	}
 	s.RequireNoViolations()
 }
+
+// A Holds frame that names an attempt whose offer was not sent closes the connection. The entries behind it are ignored.
+func TestCoreIgnoresHoldsEntriesBehindUnsentAttempt(t *testing.T) {
+	const host, tasks, maxConnections = "h0", 4, 10
+	s := simulation.New(t, simulation.Settings(t, ""), 1)
+	s.FromHost = func(_ string, f hostproto.Frame) bool {
+		_, isWelcome := f.(hostproto.Welcome)
+		return !isWelcome
+	}
+	s.ResetConnections(host)
+	s.Advance(500 * time.Millisecond)
+	fromHost := func(f hostproto.Frame) { // frames on other connections than the current one are ignored
+		for conn := range uint32(maxConnections) {
+			s.Step(core.FrameReceived{Host: host, Conn: conn, Frame: f})
+		}
+	}
+	fromHost(hostproto.Welcome{Version: hostproto.Version, Host: host, Epoch: 1, Count: tasks})
+	s.Submit("", "name: p\nservices: {web: {deploy: {replicas: 4}}}")
+	s.Advance(10 * time.Millisecond)
+	holds := hostproto.Holds{}
+	for task := range uint32(tasks) {
+		holds.Held = append(holds.Held, hostproto.Held{Ref: hostproto.Ref{Epoch: s.Epoch, Task: task + 1}, Phase: hostproto.PhaseStarting})
+	}
+	fromHost(holds)
+	if n := len(s.Offers); n != 0 {
+		t.Errorf("host that has not listed its tasks: got %d offers, want 0", n)
+	}
+}
