Module: a suspect machine that answers its probe as unhealthy is probed again

Cause: recordHealth passes over Errored, so that no timer was set while the machine counted failures (dispatch.go, handleProbeResult). Change: an unhealthy answer to a probe counts like none. Result: TestUnhealthySuspectMachineIsProbedAgain fails without the change (0 probes after the first) and passes.

--- a/dispatch.go
+++ b/dispatch.go
@@ -80,6 +80,10 @@
 	}
 	m.probing = false
 	p.applyReport(m, event.Report)
+	if event.Result == Errored { // an unhealthy machine is probed again, like one that doesn't answer
+		p.recordHealth(m, TimedOut)
+		return
+	}
 	p.recordHealth(m, event.Result)
 }
 
--- a/outliers_test.go
+++ b/outliers_test.go
@@ -112,22 +112,45 @@
 	}
 }
 
-func TestSuspectMachineIsProbedAndUsedOnceItAnswers(t *testing.T) {
+// A suspect machine that answers its probe as unhealthy is probed again until it is well.
+func TestUnhealthySuspectMachineIsProbedAgain(t *testing.T) {
 	h := newHarness(t, testSettings(), readyMachines(1))
 	id, actions := h.request(0, 7)
 	first := h.singleOffer(actions)
 	actions = h.step(Outcome{Task: id, Attempt: 0, Machine: first.Machine, Result: ConnectFailed})
-	if len(actionsOf[Offer](actions)) > 0 {
-		t.Fatalf("actions after a failed connection to the only machine = %v, want no Offer", formatActions(actions))
+	for range 3 {
+		if probes := h.probesWithin(actions, 8*time.Second); len(probes) != 1 {
+			t.Fatalf("probes of the suspect machine = %d, want 1", len(probes))
+		}
+		actions = h.step(Probed{Machine: first.Machine, Result: Errored})
+		if len(actionsOf[Offer](actions)) > 0 {
+			t.Fatalf("actions after an unhealthy answer = %v, want no Offer", formatActions(actions))
+		}
 	}
-	var probes []Probe
+}
+
+// probesWithin fires the timers that actions set for the next d, and returns the probes that follow.
+func (h *harness) probesWithin(actions []Action, d time.Duration) (probes []Probe) {
+	end := h.now + d
 	for _, timer := range actionsOf[SetTimer](actions) {
-		if timer.At > h.now+4*time.Second {
+		if timer.At > end {
 			continue
 		}
 		h.now = max(h.now, timer.At)
 		probes = append(probes, actionsOf[Probe](h.step(TimerFired{Timer: timer.Timer}))...)
 	}
+	return probes
+}
+
+func TestSuspectMachineIsProbedAndUsedOnceItAnswers(t *testing.T) {
+	h := newHarness(t, testSettings(), readyMachines(1))
+	id, actions := h.request(0, 7)
+	first := h.singleOffer(actions)
+	actions = h.step(Outcome{Task: id, Attempt: 0, Machine: first.Machine, Result: ConnectFailed})
+	if len(actionsOf[Offer](actions)) > 0 {
+		t.Fatalf("actions after a failed connection to the only machine = %v, want no Offer", formatActions(actions))
+	}
+	probes := h.probesWithin(actions, 4*time.Second)
 	if len(probes) != 1 {
 		t.Fatalf("probes of the suspect machine = %d, want 1", len(probes))
 	}
