netio: errors of our own machine blame no host and lose no accepted connection

Terms: system calls fail in all the ways that Linux documents; wall clocks are stepped. Cause, by reading: connect with ENETUNREACH, ECONNABORTED, EINTR or EAGAIN counted as the host's failure (server/platform, localFailures), which makes it suspect and, without an open connection, brings its tasks nearer to being lost; an accepted connection whose descriptor could not be duplicated (EMFILE, ENFILE) was closed at once, with the request in it (listener.go, handle); the end of a Drain was kept in Unix time, which a step of the wall clock moves. Change: the list of local failures moved to netio and has these errors; a connection is passed to the poller again for up to 3 s; the Drain runs on the monotonic clock. The retry has no test: no seam fails dup here.

--- a/internal/server/netio/conn.go
+++ b/internal/server/netio/conn.go
@@ -28,11 +28,10 @@
 	closeReason error      // reason with which the connection was closed before attach was called
 }
 
-// newConn wraps a socket. On an error it closes the socket.
+// newConn wraps a socket. On an error the socket stays open and may be wrapped again.
 func newConn(socket net.Conn, maxPending int) (*Conn, error) {
 	raw, err := nbio.NBConn(socket)
 	if err != nil {
-		_ = socket.Close()
 		return nil, err
 	}
 	return &Conn{raw: raw, maxPending: int64(maxPending)}, nil
--- a/internal/server/netio/engine.go
+++ b/internal/server/netio/engine.go
@@ -151,6 +151,7 @@
 	}
 	c, err := newConn(socket, maxPending)
 	if err != nil {
+		_ = socket.Close()
 		return nil, err
 	}
 	if err := e.attach(c, handler); err != nil {
--- a/internal/server/netio/listener.go
+++ b/internal/server/netio/listener.go
@@ -8,8 +8,13 @@
 	"time"
 )
 
-// acceptBackoff is the wait after an error of accept. During the wait, connections stay in the accept queue.
-const acceptBackoff = 10 * time.Millisecond
+const (
+	// acceptBackoff is the wait after an error of accept. During the wait, connections stay in the accept queue.
+	acceptBackoff = 10 * time.Millisecond
+	// maxAdoptAttempts bounds how often an accepted connection is passed to the poller while descriptors are short. A
+	// connection that is closed instead would lose what its peer has sent.
+	maxAdoptAttempts = 300
+)
 
 // Listener accepts connections until it is closed or its engine is stopped. Its methods are safe for concurrent use.
 type Listener struct {
@@ -18,7 +23,8 @@
 	maxPending int
 	accept     func(c *Conn) Handler
 	drainIdle  atomic.Int64  // nanoseconds without a new connection after which a Drain ends; 0: Drain was not called
-	drainUntil atomic.Int64  // latest end of a Drain, in Unix nanoseconds
+	drainUntil atomic.Int64  // latest end of a Drain, in nanoseconds since openedAt
+	openedAt   time.Time     // has a reading of the monotonic clock
 	done       chan struct{} // closed when the listener is closed and all accepted connections have been handled
 }
 
@@ -31,7 +37,8 @@
 		return nil, err
 	}
 	ln := &Listener{
-		TCPListener: raw.(*net.TCPListener), engine: e, maxPending: maxPending, accept: accept, done: make(chan struct{}),
+		TCPListener: raw.(*net.TCPListener), engine: e, maxPending: maxPending, accept: accept, openedAt: time.Now(),
+		done: make(chan struct{}),
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -48,7 +55,7 @@
 // the listener: when no connection has arrived for the duration idle, or after limit. Closing the listener at once
 // would reset the waiting connections.
 func (l *Listener) Drain(idle, limit time.Duration) {
-	l.drainUntil.Store(time.Now().Add(limit).UnixNano())
+	l.drainUntil.Store(int64(time.Since(l.openedAt) + limit))
 	l.drainIdle.Store(int64(idle))
 	_ = l.SetDeadline(time.Now().Add(idle))
 }
@@ -79,18 +86,18 @@
 
 // extendDrain sets the next deadline of a Drain. It returns false if the limit of the Drain has passed.
 func (l *Listener) extendDrain() bool {
-	now := time.Now()
-	if now.UnixNano() >= l.drainUntil.Load() {
+	if int64(time.Since(l.openedAt)) >= l.drainUntil.Load() {
 		return false
 	}
-	_ = l.SetDeadline(now.Add(time.Duration(l.drainIdle.Load())))
+	_ = l.SetDeadline(time.Now().Add(time.Duration(l.drainIdle.Load())))
 	return true
 }
 
 // handle passes an accepted connection to accept and attaches it to its handler and poller.
 func (l *Listener) handle(socket net.Conn) {
-	c, err := newConn(socket, l.maxPending)
+	c, err := l.adopt(socket)
 	if err != nil {
+		_ = socket.Close()
 		return
 	}
 	handler := l.accept(c)
@@ -107,6 +114,17 @@
 	}
 }
 
+// adopt wraps an accepted socket. While the process or the machine lacks descriptors or memory, it tries again.
+func (l *Listener) adopt(socket net.Conn) (c *Conn, err error) {
+	for range maxAdoptAttempts {
+		if c, err = newConn(socket, l.maxPending); err == nil || !IsLocalFailure(err) {
+			return c, err
+		}
+		time.Sleep(acceptBackoff)
+	}
+	return nil, err
+}
+
 // removeListener closes a listener and removes it from the engine's listeners.
 func (e *Engine) removeListener(l *Listener) {
 	_ = l.Close()
--- a/internal/server/platform/hosts.go
+++ b/internal/server/platform/hosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -50,27 +49,13 @@
 		}
 	case err != nil || stream.IsClosed():
 		delete(c.hosts.open, c.id)
-		c.hosts.inputs.add(platformcore.DialFailed{Connection: c.id, Refused: errors.Is(err, syscall.ECONNREFUSED), Local: isLocalFailure(err)})
+		c.hosts.inputs.add(platformcore.DialFailed{Connection: c.id, Refused: errors.Is(err, syscall.ECONNREFUSED), Local: netio.IsLocalFailure(err)})
 	default:
 		c.stream = stream
 		c.hosts.inputs.add(platformcore.HostConnected{Connection: c.id})
 	}
 }
 
-// localFailures are errors of a dial that are caused by this process or its machine rather than by the host.
-var localFailures = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, net.ErrClosed}
-
-// isLocalFailure reports whether a dial failed because this process or its machine lacks a resource, or because the
-// engine is stopping.
-func isLocalFailure(err error) bool {
-	for _, failure := range localFailures {
-		if errors.Is(err, failure) {
-			return true
-		}
-	}
-	return false
-}
-
 // send writes a line to a host.
 func (h *hostConnections) send(o platformcore.SendToHost) {
 	c := h.open[o.Connection]
