platform: requests are rejected from 650 ms after SIGTERM, before the platform's 700 ms

Terms: SIGKILL may come 0.7 s and the longest deadline after SIGTERM, and what came later than 0.7 s must be answered by then. Cause: requests were accepted until 800 ms (limits.go, listenAfterShutdown), so that one of 100 ms could be open at the kill. Change: 650 ms. The test of the accept queue stalls the loop at 500 ms instead of 750 ms, as the listener closes earlier, and its stall ends with the test: a failed test hung for ten minutes.

--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -105,8 +105,9 @@
 const (
 	// reconcileInterval is the time between two checks of all hosts and owners.
 	reconcileInterval = 50 * time.Millisecond
-	// listenAfterShutdown is the time for which connections and requests are still accepted after a shutdown request.
-	listenAfterShutdown = 800 * time.Millisecond
+	// listenAfterShutdown is the time for which connections and requests are still accepted after a shutdown request. It
+	// is below the 700 ms after which a request must be answered before the platform kills the process.
+	listenAfterShutdown = 650 * time.Millisecond
 	// minShutdownDuration is the least time from the request of a shutdown to its completion.
 	minShutdownDuration = 1200 * time.Millisecond
 )
--- a/internal/server/platform/shutdown_test.go
+++ b/internal/server/platform/shutdown_test.go
@@ -18,7 +18,7 @@
 	const ref = "00000000000000a7"
 	const request = `{"t":"new","ref":"` + ref + `","f":{"class":"keyed","left":"3000","tenant":"acme","key":"0000000000000001","idem":"k","extras":"cores:1;memory:1;service:0000000000000009"},"d":"in pieces"}` + "\n"
 	s.BeginShutdown()
-	time.Sleep(750 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond) // the listener closes 650 ms after the request
 	resume := stall(t, s)
 	fillJobQueue(s)
 	// When the core closes the listener, the connections of all but one of these owners wait in the accept queue.
@@ -28,7 +28,7 @@
 		o.request(fmt.Sprintf("%016x", 0xb700+i), 3000)
 		late = append(late, o)
 	}
-	time.Sleep(150 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
 	resume()
 	for i, o := range late {
 		o.awaitAnswer(t, fmt.Sprintf("%016x", 0xb700+i))
--- a/internal/server/platform/testenv_test.go
+++ b/internal/server/platform/testenv_test.go
@@ -310,7 +310,9 @@
 	stalled, gate := make(chan struct{}), make(chan struct{})
 	s.loop.Post(func() { close(stalled); <-gate })
 	<-stalled
-	return func() { close(gate) }
+	resume = sync.OnceFunc(func() { close(gate) })
+	t.Cleanup(resume) // a failed test must not keep the server from closing
+	return resume
 }
 
 // fillJobQueue fills the event loop's queue, so that PostBlocking waits. The loop must be stalled.
