Settings and limits that cannot be kept are refused at the start

Change: one check each, naming field, value and bound. The forgotten spread error has no test of its own.

--- a/internal/parse/platformconfig/check.go
+++ b/internal/parse/platformconfig/check.go
@@ -90,11 +90,12 @@
 	}
 	maxPerDomain := c.at("familyInfo.classMost").([]any)
 	for i, class := range c.at("classes").([]any) {
-		// FIXME: the assignment overwrites an error that the call of c.spread has recorded for an earlier class.
 		if c.err = checkClass(i, class.(map[string]any)); c.err != nil {
 			return
 		}
-		c.spread(i, spreads[i], maxPerDomain[i].(float64))
+		if c.spread(i, spreads[i], maxPerDomain[i].(float64)); c.err != nil {
+			return
+		}
 	}
 }
 
--- a/internal/server/platform/config.go
+++ b/internal/server/platform/config.go
@@ -12,14 +12,15 @@
 )
 
 // Division of the process's descriptors. The limit of descriptors is the sum of reservedDescriptors, acceptReserve and
-// the core's MaxConnections, unless minConnections applies.
+// the core's MaxConnections. CheckConfig rejects limits for which that leaves too few.
 const (
 	defaultDescriptors = 1024 // limit of descriptors if the configuration sets none
+	// minDescriptors is the least limit with which owners, hosts and everything else get descriptors within the limit.
+	minDescriptors = 64
 	// reservedDescriptors are descriptors for everything but connections. They are also for connections that are
 	// half-closed or linger after the core has given their slots to other connections.
 	reservedDescriptors = 24
-	acceptReserve       = 8  // descriptors for accepted connections that the core does not know yet
-	minConnections      = 16 // minimum number of connections, acceptReserve included, for any limit of descriptors
+	acceptReserve       = 8 // descriptors for accepted connections that the core does not know yet
 )
 
 // ConfigError is the error of a configuration that cannot be used.
@@ -39,8 +40,14 @@
 	if _, err := parsePeers(cfg.Peers); err != nil {
 		return ConfigError{err}
 	}
+	if n := cfg.Limits.Sockets; n != 0 && n < minDescriptors {
+		return ConfigError{fmt.Errorf("limits.sockets: got %d, want 0 for the default of %d or at least %d", n, defaultDescriptors, minDescriptors)}
+	}
+	if _, err := netip.ParseAddrPort(cfg.PeersBroadcast); cfg.PeersBroadcast != "" && err != nil {
+		return ConfigError{fmt.Errorf("peers_all: %w", err)}
+	}
 	addresses := []struct{ key, value string }{
-		{"changelog", cfg.WatchAddress}, {"listen", cfg.Listen}, {"peer_listen", cfg.PeerListen}, {"peers_all", cfg.PeersBroadcast},
+		{"changelog", cfg.WatchAddress}, {"listen", cfg.Listen}, {"peer_listen", cfg.PeerListen},
 	}
 	for _, address := range addresses {
 		if _, _, err := net.SplitHostPort(address.value); address.value != "" && err != nil {
@@ -76,7 +83,7 @@
 }
 
 // newCoreConfig returns the core's configuration. The number of connections is the number of descriptors minus
-// reservedDescriptors, but at least minConnections. A third of the descriptors, or half of the connections if that is
+// reservedDescriptors. A third of the descriptors, or half of the connections if that is
 // less, is reserved for connections of owners. Owners may use up to two thirds of the connections. Hosts may use all
 // connections except those reserved for owners and those of acceptReserve.
 func newCoreConfig(cfg *platform.Config, info *platformconfig.Info, settings forkhead.Settings) platformcore.Config {
@@ -84,7 +91,7 @@
 	if descriptors == 0 {
 		descriptors = defaultDescriptors
 	}
-	connections := max(descriptors-reservedDescriptors, minConnections)
+	connections := descriptors - reservedDescriptors
 	protected := min(descriptors/3, connections/2)
 	config := platformcore.NewConfig(info, settings)
 	config.Seed = cfg.SeedNumber()
--- a/validate.go
+++ b/validate.go
@@ -21,6 +21,8 @@
 		return fmt.Errorf("settings: MachineTypes is empty")
 	case settings.MaxAttempts < 1:
 		return fmt.Errorf("settings: MaxAttempts is %d, want at least 1", settings.MaxAttempts)
+	case !settings.ListWatched && settings.MaxPollInterval <= 0:
+		return fmt.Errorf("settings: MaxPollInterval is %v, want above 0 for a list that is polled", settings.MaxPollInterval)
 	}
 	for i, class := range settings.Classes {
 		if class.MachineType < -1 || class.MachineType >= len(settings.MachineTypes) {
@@ -55,6 +57,7 @@
 		{"DrainGrace", float64(settings.DrainGrace)},
 		{"MaxPollInterval", float64(settings.MaxPollInterval)},
 		{"OwnerBackoff", float64(settings.OwnerBackoff)},
+		{"OverQuotaWeight", settings.OverQuotaWeight},
 		{"Costs.SurplusMachine", settings.Costs.SurplusMachine},
 		{"Costs.Migration", settings.Costs.Migration},
 		{"Costs.EvictionMigrations", settings.Costs.EvictionMigrations},
@@ -75,9 +78,14 @@
 		field := fmt.Sprintf("Classes[%d]", i)
 		amounts = append(amounts,
 			namedAmount{field + ".SaturationThreshold", class.SaturationThreshold},
+			namedAmount{field + ".DegradationRange", class.DegradationRange},
+			namedAmount{field + ".Weight", class.Weight},
 			namedAmount{field + ".DedupWindow", float64(class.DedupWindow)},
 			namedAmount{field + ".MaxPerDomain", float64(class.MaxPerDomain)})
 	}
+	for i, tenant := range settings.Tenants {
+		amounts = append(amounts, namedAmount{fmt.Sprintf("Tenants[%d].QuotaCores", i), tenant.QuotaCores})
+	}
 	slices.SortFunc(amounts, func(a, b namedAmount) int { return cmp.Compare(a.name, b.name) })
 	return amounts
 }
--- a/validate_test.go
+++ b/validate_test.go
@@ -24,6 +24,11 @@
 		"Classes[0].MachineType":         func(s *Settings) { s.Classes[0].MachineType = 1 },
 		"Classes[0].SaturationThreshold": func(s *Settings) { s.Classes[0].SaturationThreshold = math.NaN() },
 		"SlowStartMaxOffers":             func(s *Settings) { s.SlowStartMaxOffers = -1 },
+		"Classes[0].DegradationRange":    func(s *Settings) { s.Classes[0].DegradationRange = math.NaN() },
+		"Classes[0].Weight":              func(s *Settings) { s.Classes[0].Weight = -1 },
+		"OverQuotaWeight":                func(s *Settings) { s.OverQuotaWeight = math.Inf(1) },
+		"Tenants[0].QuotaCores":          func(s *Settings) { s.Tenants = []Tenant{{QuotaCores: math.NaN()}} },
+		"MaxPollInterval":                func(s *Settings) { s.ListWatched, s.MaxPollInterval = false, 0 },
 		"Classes[0].MaxPerDomain ":       func(s *Settings) { s.Classes[0].MaxPerDomain = -1 },
 	} {
 		settings := testSettings()
