platform: hand-overs on removed hosts count; a host that sends only garbage loses its tasks in time

Result: TestCoreCountsTaskHandedOverOnRemovedHost, TestCoreReleasesTaskHandedOverTwiceAfterItsEndOnce and TestCoreReleasesTasksOfHostThatSendsOnlyUnreadableMessages fail without the change.

--- a/internal/scheduler/platform/connection.go
+++ b/internal/scheduler/platform/connection.go
@@ -133,6 +133,9 @@
 	conn.state, conn.lastSentAt, conn.lastReceivedAt = connectionOpen, c.now, c.now
 	h.lastSeenAliveAt, h.redialBackoff, h.refusedDials = c.now, 0, 0
 	h.wasReset = false
+	if h.unreadableSince > 0 && c.settings.MayProbe {
+		c.sendProbeMessage(conn) // its result is readable if the host is well again
+	}
 	c.sendQueued(conn)
 	c.sendDeferredStops(h)
 	c.stopUnconfirmed(h)
--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -34,6 +34,7 @@
 	finished          []*request                              // requests to check for removal at the end of the step
 	abandoned         recent[attemptKey]                      // attempts no longer awaited whose task may run
 	reportedEnds      recent[reportedEnd]                     // ends of tasks, also under unknown refs
+	deliveredReleases recent[deliveredRelease]                // releases of tasks that had ended before their hand-over
 
 	owners      map[OwnerID]*ownerConnection
 	undelivered []undeliveredMessage // oldest first
@@ -72,6 +73,7 @@
 		attemptsByService: invariant.ServiceAttempts[*taskAttempt]{},
 		abandoned:         newRecent[attemptKey](maxRemembered),
 		reportedEnds:      newRecent[reportedEnd](maxRemembered),
+		deliveredReleases: newRecent[deliveredRelease](maxRemembered),
 		owners:            map[OwnerID]*ownerConnection{},
 		hosts:             map[forkhead.MachineID]*host{},
 		connections:       map[ConnectionID]*hostConnection{},
--- a/internal/scheduler/platform/handover.go
+++ b/internal/scheduler/platform/handover.go
@@ -9,8 +9,9 @@
 	"forkhead/internal/scheduler/attempt"
 )
 
-// handleHandOver takes over a task that a host already runs. A task that has ended, according to its host or the
-// endpoint list, is released at once. A host that is not listed yet is accepted, as the endpoint list may be late.
+// handleHandOver takes over a task that a host already runs. A task that has ended, according to its host or the endpoint
+// list, is released at once; in the latter case it counts until its end is confirmed. A host that is not listed yet is
+// accepted, as the endpoint list may be late.
 func (c *Core) handleHandOver(owner *ownerConnection, decoded *decodedRequest) {
 	h := c.handOverHost(decoded.host)
 	if h == nil {
@@ -23,7 +24,10 @@
 		return
 	}
 	c.logSecondHandOver(h, decoded)
-	c.takeOver(owner, h, decoded)
+	a := c.takeOver(owner, h, decoded)
+	if h.isGone(c.now) {
+		c.finishTask(a, platform.CauseReset, attemptEnd{unconfirmed: true})
+	}
 }
 
 // handOverHost returns the host with a name, and adds it if it is unknown. It returns nil if no host can have that
@@ -47,9 +51,6 @@
 // endBeforeHandOver returns the cause of a task's end if the task has ended before its hand-over. A host reports an end
 // only once, so without this check the task would count as running for ever.
 func (c *Core) endBeforeHandOver(h *host, ref requestRef) (cause platform.Cause, ended bool) {
-	if h.entry.State == forkhead.Removed && c.now > h.removedAt+removedGrace {
-		return platform.CauseReset, true
-	}
 	for _, cause := range []platform.Cause{platform.CauseOK, platform.CauseReset, platform.CauseMigrated} {
 		if c.reportedEnds.contains(reportedEnd{attemptKey{h.id, ref}, cause}) {
 			return cause, true
@@ -58,10 +59,19 @@
 	return platform.NoCause, false
 }
 
-// releaseHandedOver releases a task that has ended before its hand-over, unless its owner knows that it has ended.
+// deliveredRelease identifies the release of a handed-over task that was sent on a connection of its owner.
+type deliveredRelease struct {
+	owner OwnerID
+	ref   requestRef
+}
+
+// releaseHandedOver releases a task that has ended before its hand-over, unless its owner knows that it has ended, or the
+// release was sent on the same connection before.
 func (c *Core) releaseHandedOver(owner *ownerConnection, ref requestRef, cause platform.Cause) {
 	c.undelivered = slices.DeleteFunc(c.undelivered, func(m undeliveredMessage) bool { return m.ref == ref })
-	if cause != causeOwnerKnows {
+	notice := deliveredRelease{owner.id, ref}
+	if cause != causeOwnerKnows && !c.deliveredReleases.contains(notice) {
+		c.deliveredReleases.add(notice)
 		c.emit(SendToOwner{owner.id, releaseMessage(ref, cause)})
 	}
 }
@@ -75,13 +85,15 @@
 	}
 }
 
-// takeOver adds a task that a host already runs.
-func (c *Core) takeOver(owner *ownerConnection, h *host, decoded *decodedRequest) {
+// takeOver adds a task that a host already runs, and returns its attempt.
+func (c *Core) takeOver(owner *ownerConnection, h *host, decoded *decodedRequest) *taskAttempt {
 	r := c.newRequest(owner, decoded)
 	r.phase = requestPlaced
 	r.lifecycle.Answer = attempt.AnsweredPlaced
 	r.lifecycle.Attempts = []attempt.Attempt{{Host: attempt.HostID(h.id), Phase: attempt.Placed, ChosenAt: c.now}}
-	c.addAttempt(&taskAttempt{request: r, host: h, sentAt: c.now})
+	a := &taskAttempt{request: r, host: h, sentAt: c.now}
+	c.addAttempt(a)
 	c.countPlaced(r)
 	c.notifyModule(forkhead.HandedOver{Task: r.task, Machine: h.id})
+	return a
 }
--- a/internal/scheduler/platform/handover_test.go
+++ b/internal/scheduler/platform/handover_test.go
@@ -201,3 +201,25 @@
 		}
 	}
 }
+
+// A task that is handed over on a removed host counts until the end is confirmed, although its owner is notified at once:
+// the list may be wrong.
+func TestCoreCountsTaskHandedOverOnRemovedHost(t *testing.T) {
+	w := newTestCore(t, nil)
+	o := w.connectOwner()
+	w.step(hostChanged(1, platform.Terminated))
+	w.advance(time.Second)
+	w.wantLines(sentLines[SendToOwner](w.send(o, handOverLine(ref1, 1))), "down "+ref1+" 41")
+	w.wantUnconfirmed()
+}
+
+// A task that ended before its hand-over is released once on a connection, however often it is handed over there, and
+// again on another connection.
+func TestCoreReleasesTaskHandedOverTwiceAfterItsEndOnce(t *testing.T) {
+	w := newTestCore(t, nil)
+	o, conn := w.placeTask()
+	w.step(fromHost(conn, releaseLine(ref2, 16)))
+	w.wantLines(sentLines[SendToOwner](w.send(o, handOverLine(ref2, 1))), "down "+ref2+" 16")
+	w.wantLines(sentLines[SendToOwner](w.send(o, handOverLine(ref2, 1))))
+	w.wantLines(sentLines[SendToOwner](w.send(w.connectOwner(), handOverLine(ref2, 1))), "down "+ref2+" 16")
+}
--- a/internal/scheduler/platform/host.go
+++ b/internal/scheduler/platform/host.go
@@ -31,6 +31,8 @@
 	lastDialFailedAt time.Duration // last failed dial, not counting local failures for lack of file descriptors
 	redialAt         time.Duration // earliest time of a dial that no offer or probe needs
 	redialBackoff    time.Duration // doubles with each failed dial
+	unreadableSince  time.Duration // when the first of the unreadable messages came after which no other has been read; 0: none
+	lastUnreadableAt time.Duration // when the last of them came
 	refusedDials     int           // dials refused in a row while no connection was open
 	wasReset         bool          // the connection that ended last was reset by the host
 }
--- a/internal/scheduler/platform/hostmessages.go
+++ b/internal/scheduler/platform/hostmessages.go
@@ -29,14 +29,26 @@
 		if m.Type == platform.TypeBound && m.Description == nil {
 			return errNoDescription
 		}
+		conn.host.unreadableSince = 0
 		c.handleHostMessage(conn, &m)
 		return nil
 	})
 	if err != nil && c.connections[conn.id] == conn { // false if a message in the data has already closed the connection
+		c.receivedUnreadable(conn.host)
 		c.closeFaultyConnection(conn, reasonUnreadable, errorAttr(err))
 	}
 }
 
+// receivedUnreadable records a message that cannot be read, and delays the next dial that no offer or probe needs:
+// without the delay, a host that sends nothing else would be dialed over and over.
+func (c *Core) receivedUnreadable(h *host) {
+	if h.unreadableSince == 0 {
+		h.unreadableSince = c.now
+	}
+	h.lastUnreadableAt = c.now
+	h.redialAt = max(h.redialAt, c.now+minRedialBackoff)
+}
+
 func (c *Core) handleHostMessage(conn *hostConnection, m *platform.Message) {
 	ref := requestRef(m.Ref)
 	a := conn.host.attempts[ref] // nil: no live attempt on this host has the ref
--- a/internal/scheduler/platform/log.go
+++ b/internal/scheduler/platform/log.go
@@ -35,6 +35,7 @@
 	reasonOvertaken          logReason = "later offers are answered and its own are not"
 	reasonRefusesConnections logReason = "it refuses connections"
 	reasonUnresponsive       logReason = "it sends nothing and accepts no connection"
+	reasonOnlyUnreadable     logReason = "it sends only what cannot be read"
 	reasonNotListed          logReason = "the endpoint list does not have it"
 	reasonRemoved            logReason = "the endpoint list has it as removed"
 )
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -70,10 +70,10 @@
 	if c.now <= h.removedAt+removedGrace {
 		return
 	}
-	if h.isAliveAfterRemoval() {
-		c.reconcileResponsiveness(h)
-	} else {
+	if h.isGone(c.now) {
 		c.endLostTasks(h, reasonRemoved)
+	} else {
+		c.reconcileResponsiveness(h)
 	}
 	isUnused := len(h.attempts) == 0 && len(h.unconfirmed) == 0 && len(h.connections) == 0
 	if c.now > h.removedAt+removeHostAfter && isUnused {
@@ -81,6 +81,11 @@
 	}
 }
 
+// isGone reports whether the endpoint list has had a host as removed for removedGrace and the host shows no sign of life.
+func (h *host) isGone(now time.Duration) bool {
+	return h.entry.State == forkhead.Removed && now > h.removedAt+removedGrace && !h.isAliveAfterRemoval()
+}
+
 // isAliveAfterRemoval reports whether a host that the endpoint list has as removed has sent something since then, on a
 // connection that is still open. Such a list is wrong, or early.
 func (h *host) isAliveAfterRemoval() bool {
@@ -105,6 +110,10 @@
 	if h.lastSeenAliveAt == 0 { // the host has never been seen alive, so the time until it counts as lost begins now
 		h.lastSeenAliveAt = c.now
 	}
+	if h.isUnreadable(c.now, c.settings.MayProbe) {
+		c.endLostTasks(h, reasonOnlyUnreadable)
+		return
+	}
 	switch unresponsiveFor := c.now - h.lastSeenAliveAt; {
 	case h.isLost(unresponsiveFor):
 		c.endLostTasks(h, reasonUnresponsive)
@@ -120,6 +129,13 @@
 	}
 }
 
+// isUnreadable reports whether a host has sent nothing but unreadable messages for lostAfter. The ends of its tasks may be
+// among them. If the host may be probed, it was asked for a readable one; otherwise it must still send unreadable ones.
+func (h *host) isUnreadable(now time.Duration, mayProbe bool) bool {
+	return h.unreadableSince > 0 && now > h.unreadableSince+lostAfter &&
+		(mayProbe || now < h.lastUnreadableAt+unresponsiveAfter)
+}
+
 // isLost reports whether a host has not been seen alive for too long and no connection to it could be made meanwhile. A
 // dial in progress is awaited for up to lastDialBeforeLoss/2 longer.
 func (h *host) isLost(unresponsiveFor time.Duration) bool {
--- a/internal/scheduler/platform/unresponsive_test.go
+++ b/internal/scheduler/platform/unresponsive_test.go
@@ -88,3 +88,26 @@
 		}
 	}
 }
+
+// The tasks of a host that sends only unreadable messages are released within 8 s, as their ends may be among these. The
+// host is not dialed over and over meanwhile.
+func TestCoreReleasesTasksOfHostThatSendsOnlyUnreadableMessages(t *testing.T) {
+	w := newTestCore(t, nil)
+	_, conn := w.placeTask()
+	began, releasedAt, dials := w.now, time.Duration(0), 0
+	w.step(fromHost(conn, "{]"))
+	w.run(10*time.Second, func(d DialHost) Input { dials++; return connected(d) }, func() {
+		if releasedAt == 0 && slices.Contains(sentLines[SendToOwner](w.outputs), "down "+ref1+" 41") {
+			releasedAt = w.now
+		}
+		if open := w.core.hosts[1].newestConnection(); open != nil {
+			w.step(fromHost(open.id, "{]")) // the host reports the end of the task on each connection
+		}
+	})
+	if releasedAt == 0 || releasedAt > began+undeliveredTimeout {
+		t.Errorf("host that sends only unreadable messages: task released %v after the first, want at most %v", releasedAt-began, undeliveredTimeout)
+	}
+	if dials > 100 {
+		t.Errorf("host that sends only unreadable messages for 10 s: got %d dials, want at most 100", dials)
+	}
+}
--- a/internal/verify/noderules/checker.go
+++ b/internal/verify/noderules/checker.go
@@ -54,6 +54,10 @@
 	switch e.Event {
 	case platformmodel.RecordPlacerStarted:
 		c.placerStartedAt[e.Placer] = e.At
+		for _, h := range c.hosts { // its initial list, which the journal does not have, replaces what it was notified of
+			delete(h.drainingAt, e.Placer)
+			delete(h.startKnown, e.Placer)
+		}
 		return
 	case platformmodel.RecordPlacerStopped:
 		return
--- a/internal/verify/noderules/noderules.go
+++ b/internal/verify/noderules/noderules.go
@@ -18,6 +18,8 @@
 	deadlineSlack = 150 * time.Millisecond // a host may be told this much more time than its owner has left
 	answerSlack   = 500 * time.Millisecond // an answer may come this long after the owner's timeout
 	noticeLimit   = 8 * time.Second        // an owner hears of its task's end within this time
+	crossingSlack = 50 * time.Millisecond  // a request that crosses the close of its connection within this time is sent again
+	lastRequestAt = 700 * time.Millisecond // a request that came later than this after SIGTERM must be answered before a kill
 )
 
 // Rule is a rule of the platform.
@@ -51,6 +53,7 @@
 	SlowStartDuration, SlowStartWindow time.Duration
 	SlowStartMaxOffers                 int
 	Stalls                             []Stall // when placers could not act
+	Shutdowns                          []Shutdown
 }
 
 // Stall is a span in which a placer did not run: it was stopped, killed or starting. A request that was open in one is
@@ -60,6 +63,14 @@
 	From, To time.Duration
 }
 
+// Shutdown is the shutdown of a placer after SIGTERM.
+type Shutdown struct {
+	Placer      int
+	RequestedAt time.Duration
+	EndedAt     time.Duration // when the process had ended
+	Killed      bool          // the process was killed, as it had not ended in time
+}
+
 // Breach is a violation of a rule.
 type Breach struct {
 	At   time.Duration // time in the journal
--- a/internal/verify/noderules/tasks.go
+++ b/internal/verify/noderules/tasks.go
@@ -105,19 +105,30 @@
 	}
 	switch e.message.Type {
 	case platform.TypeBound:
-		t.running = true
+		t.running, t.request.endedAt = true, 0
 		h.mergeWithSameKey(t, e.message.Ref)
 	case platform.TypeRelease:
 		delete(h.tasks, e.message.Ref)
 		switch cause := e.message.Cause; {
-		case t.running:
+		case t.running && !c.runsElsewhere(e.message.Ref):
 			t.request.endedAt = e.At
+		case t.running:
 		case cause == platform.CauseRejected || cause == platform.CauseNotSent:
 			t.request.mayHaveRun = false
 		}
 	}
 }
 
+// runsElsewhere reports whether another host runs a task under a ref, as an answer of this one was lost.
+func (c *checker) runsElsewhere(ref string) bool {
+	for _, h := range c.hosts {
+		if t := h.tasks[ref]; t != nil && t.running {
+			return true
+		}
+	}
+	return false
+}
+
 // mergeWithSameKey removes the other running task with the idempotency key of a task that was accepted: the host goes
 // on with that one under the new ref.
 func (h *hostRecord) mergeWithSameKey(accepted *task, ref string) {
