platform: starts of hosts that another clock states are bounded by this placer's own clock

Terms: wall clocks are stepped, by seconds or an hour; slow start and ends of tasks are spans of real time. Cause, by reading: born_ms was used as it is (endpoints.go). A host whose clock is an hour ahead stayed in slow start for that hour; one an hour behind was offered everything while it was cold; the tasks of an earlier incarnation stayed placed for ever if the clock was a few seconds behind. An entry of a removed host without zone or rack moved its tasks to the first ones, where they counted toward the wrong limit. Change: a stated start in the future, known more than a minute late, or before an earlier one counts as now; a task offered on a connection that is closed is of an earlier incarnation once a later start is stated; a removed host keeps its location. A step of less than a minute backwards still shortens a slow start by that much.

--- a/internal/scheduler/platform/endpoints.go
+++ b/internal/scheduler/platform/endpoints.go
@@ -59,7 +59,7 @@
 			c.addHost(h)
 		}
 		c.updateHost(h, entry, endpoint.Address)
-		entries = append(entries, entry)
+		entries = append(entries, h.entry)
 	}
 	if list.Snapshot {
 		c.removeMissing(listed)
@@ -115,12 +115,42 @@
 	return slices.Index(c.config.Names.Zones, name)
 }
 
+// reconcileEntry returns an entry of the endpoint list with a start by this placer's clock, and with the location that is
+// known of a removed host, whose entry may lack it.
+func (c *Core) reconcileEntry(h *host, entry forkhead.Machine) forkhead.Machine {
+	entry.StartedAt = c.startByOwnClock(h, entry.StartedAt)
+	if entry.State == forkhead.Removed && h.address != "" {
+		entry.Type, entry.Zone, entry.Cell = h.entry.Type, h.entry.Zone, h.entry.Cell
+	}
+	return entry
+}
+
+// startByOwnClock returns when a host's incarnation started, given the start that the endpoint list states by another
+// machine's clock. A start in the future, one that became known much later than lists are late, and one that lies before
+// the start of an earlier incarnation show that the clocks differ. The host then counts as started now, so that it is
+// spared for too long rather than not long enough.
+func (c *Core) startByOwnClock(h *host, stated time.Duration) time.Duration {
+	isKnown := h.address != "" && stated == h.statedStart
+	isFromWatch := c.config.InitialEvents == nil
+	switch {
+	case stated == 0:
+		return 0
+	case isKnown:
+		return h.entry.StartedAt
+	case stated > c.now, isFromWatch && c.now > stated+maxStartNotice, stated < h.statedStart:
+		return c.now
+	}
+	return stated
+}
+
 // updateHost applies a host's current entry in the endpoint list.
 func (c *Core) updateHost(h *host, entry forkhead.Machine, address string) {
+	stated := entry.StartedAt
 	if h.unlistedSince > 0 {
 		h.unlistedSince = 0
 		c.unlistedHosts--
 	}
+	entry = c.reconcileEntry(h, entry)
 	if entry.State != forkhead.Ready && (h.entry.State == forkhead.Ready || h.drainingSince == 0) {
 		h.drainingSince = c.now
 	}
@@ -128,7 +158,9 @@
 		h.removedAt = c.now
 		c.probeRemoved(h)
 	}
-	if entry.StartedAt > h.entry.StartedAt && h.address != "" {
+	isRestart := stated > h.statedStart && h.address != ""
+	h.statedStart = stated
+	if isRestart {
 		c.handleHostRestart(h, entry.StartedAt)
 	}
 	if entry.State == forkhead.Removed || address != "" && address != h.address {
@@ -140,9 +172,14 @@
 	h.setEntry(entry)
 }
 
-// handleHostRestart ends the tasks of a host's earlier incarnation and resets its redial backoff.
+// handleHostRestart ends the tasks of a host's earlier incarnation and resets its redial backoff. The end of an
+// incarnation ends its connections, so that a task whose offer was sent on a connection that is closed counts as of an
+// earlier one even if the host's clock is behind.
 func (c *Core) handleHostRestart(h *host, startedAt time.Duration) {
-	ended := h.attemptsWhere(func(a *taskAttempt) bool { return a.isPlaced() && a.sentAt < startedAt })
+	ended := h.attemptsWhere(func(a *taskAttempt) bool {
+		connectionEnded := a.offeredOn != 0 && c.connections[a.offeredOn] == nil
+		return a.isPlaced() && (a.sentAt <= startedAt || connectionEnded)
+	})
 	for _, a := range ended {
 		c.finishTask(a, platform.CauseReset, attemptEnd{unconfirmed: true})
 	}
--- a/internal/scheduler/platform/host.go
+++ b/internal/scheduler/platform/host.go
@@ -18,6 +18,7 @@
 	address       string           // "" until the endpoint list has the host, which cannot be dialed before
 	entry         forkhead.Machine // entry in the endpoint list
 	invariantView invariant.Host   // entry in the form that package invariant checks
+	statedStart   time.Duration    // start of the host's incarnation as the endpoint list states it, by another machine's clock
 	unlistedSince time.Duration    // time of the hand-over that added the host; 0: the endpoint list has it
 	drainingSince time.Duration    // time since which the endpoint list has not had the host as ready
 	removedAt     time.Duration    // time since which the endpoint list has had the host as removed
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -77,6 +77,8 @@
 	// removedGrace is the time for which a host that the endpoint list has as removed may still report the ends of its
 	// tasks.
 	removedGrace = 500 * time.Millisecond
+	// maxStartNotice is the longest time after which the endpoint list tells of a host's start.
+	maxStartNotice = time.Minute
 	// removeHostAfter is the time after which a removed host without tasks and connections is deleted from the core's
 	// tables.
 	removeHostAfter = 30 * time.Second
