platform: one log line for each unconfirmed end and each confirmation, 200 lines a second at most

Change: an inferred end logs host, ref and what it was inferred from; its confirmation logs host, ref and the proof, or that there is none. The shell writes at most 200 lines a second besides errors and then how many it left out. Refusals, closes, retries and applied lists have no line each yet.

--- a/internal/scheduler/platform/attempt.go
+++ b/internal/scheduler/platform/attempt.go
@@ -117,7 +117,7 @@
 	r := a.request
 	r.attempts = append(r.attempts, a)
 	if earlier := a.host.unconfirmed[r.ref]; earlier != nil {
-		c.confirmEnd(earlier) // the host runs at most one task under a ref, which the new attempt counts
+		c.confirmEnd(earlier, reasonOfferedAgain) // the host runs at most one task under a ref, which the new attempt counts
 	}
 	a.host.attempts[r.ref] = a
 	c.attemptsByService.Add(r.task.Service, a)
@@ -162,8 +162,9 @@
 	reason forkhead.RejectReason
 	final  bool                 // the request has been answered, so the module has nothing more to decide on it
 	report *forkhead.LoadReport // load report of the host; nil: the host sent none
-	// unconfirmed says that nothing proves that the host does not run the task. The attempt counts until confirmEnd.
-	unconfirmed bool
+	// inferredFrom is what the end is inferred from, if nothing proves that the host does not run the task; "": the host
+	// has reported the end, or was never sent the offer. An attempt whose end is inferred counts until confirmEnd.
+	inferredFrom logReason
 }
 
 // endAttempt ends a live attempt and notifies the module of its outcome.
@@ -176,10 +177,10 @@
 	r.lifecycle.Handle(a.number, end.input)
 	c.notifyModule(forkhead.Outcome{
 		Task: r.id, Attempt: a.number, Machine: a.host.id, Result: end.result, Reason: end.reason,
-		Took: c.now - a.sentAt, Final: end.final, Unconfirmed: end.unconfirmed, Report: end.report,
+		Took: c.now - a.sentAt, Final: end.final, Unconfirmed: end.inferredFrom != "", Report: end.report,
 	})
-	if end.unconfirmed {
-		c.awaitConfirmation(a)
+	if end.inferredFrom != "" {
+		c.awaitConfirmation(a, end.inferredFrom)
 	} else {
 		c.removeAttempt(a)
 	}
@@ -224,7 +225,7 @@
 			a.stop = stopMessageSent{connection: a.connection, at: c.now}
 		}
 		c.abandoned.add(a.key())
-		end.unconfirmed, a.mayNotStop = true, !c.settings.MayWithdraw
+		end.inferredFrom, a.mayNotStop = reasonWithdrawn, !c.settings.MayWithdraw
 	}
 	c.endAttempt(a, end)
 }
--- a/internal/scheduler/platform/connection.go
+++ b/internal/scheduler/platform/connection.go
@@ -331,7 +331,7 @@
 		end := attemptEnd{input: attempt.ConnectionLost, result: forkhead.ConnectFailed}
 		if a.isInFlight() {
 			c.abandoned.add(a.key())
-			end.result, end.unconfirmed = forkhead.Reset, true
+			end.result, end.inferredFrom = forkhead.Reset, reasonConnectionEnded
 		}
 		c.endAttempt(a, end)
 	}
--- a/internal/scheduler/platform/endpoints.go
+++ b/internal/scheduler/platform/endpoints.go
@@ -181,7 +181,7 @@
 		return a.isPlaced() && (a.sentAt <= startedAt || connectionEnded)
 	})
 	for _, a := range ended {
-		c.finishTask(a, platform.CauseReset, attemptEnd{unconfirmed: true})
+		c.finishTask(a, platform.CauseReset, attemptEnd{inferredFrom: reasonRestarted})
 	}
 	h.redialBackoff, h.redialAt, h.refusedDials = 0, 0, 0
 }
--- a/internal/scheduler/platform/handover.go
+++ b/internal/scheduler/platform/handover.go
@@ -26,7 +26,7 @@
 	c.logSecondHandOver(h, decoded)
 	a := c.takeOver(owner, h, decoded)
 	if h.isGone(c.now) {
-		c.finishTask(a, platform.CauseReset, attemptEnd{unconfirmed: true})
+		c.finishTask(a, platform.CauseReset, attemptEnd{inferredFrom: reasonRemoved})
 	}
 }
 
--- a/internal/scheduler/platform/log.go
+++ b/internal/scheduler/platform/log.go
@@ -11,18 +11,18 @@
 // Log messages. They are constant, so that operators can search for them, and docs/ops/node.md lists them. Variable
 // data is in the attributes.
 const (
-	messageTasksLost          = "tasks lost with their host"
-	messageConnectionClosed   = "connection to a host closed"
-	messageUnusableEndpoint   = "unusable entry of the endpoint list ignored"
-	messageSecondHandOver     = "running task handed over under another ref"
-	messageUnknownTask        = "offer of an unknown task dropped"
-	messageOfferVetoed        = "offer vetoed"
-	messageAnswerVetoed       = "answer vetoed"
-	messageNoAnswer           = "no answer at the deadline of a task"
-	messageOversizedGossip    = "oversized gossip message dropped"
-	messageUnconfirmedDropped = "too many unconfirmed ends, one counts as confirmed"
-	messageUnconfirmedExpired = "unconfirmed ends of tasks count as confirmed after their time"
-	messageModuleInterrupted  = "module interrupted" // not logged at present, as New sets no limit of rounds
+	messageTasksLost         = "tasks lost with their host"
+	messageConnectionClosed  = "connection to a host closed"
+	messageUnusableEndpoint  = "unusable entry of the endpoint list ignored"
+	messageSecondHandOver    = "running task handed over under another ref"
+	messageUnknownTask       = "offer of an unknown task dropped"
+	messageOfferVetoed       = "offer vetoed"
+	messageAnswerVetoed      = "answer vetoed"
+	messageNoAnswer          = "no answer at the deadline of a task"
+	messageOversizedGossip   = "oversized gossip message dropped"
+	messageEndUnconfirmed    = "attempt ended without proof, it counts until its host confirms the end"
+	messageEndConfirmed      = "end of an attempt confirmed"
+	messageModuleInterrupted = "module interrupted" // not logged at present, as New sets no limit of rounds
 )
 
 // logReason is the value of the attribute keyReason.
@@ -36,8 +36,20 @@
 	reasonRefusesConnections logReason = "it refuses connections"
 	reasonUnresponsive       logReason = "it sends nothing and accepts no connection"
 	reasonOnlyUnreadable     logReason = "it sends only what cannot be read"
+	reasonConnectionEnded    logReason = "its connection ended while it was in flight"
+	reasonWithdrawn          logReason = "it was withdrawn"
+	reasonStopUnanswered     logReason = "a stop was not answered"
+	reasonRestarted          logReason = "the endpoint list states a later start"
 	reasonNotListed          logReason = "the endpoint list does not have it"
 	reasonRemoved            logReason = "the endpoint list has it as removed"
+
+	// Reasons why an end counts as confirmed. The last two are no proof.
+	reasonHostReleased        logReason = "its host released it"
+	reasonStopAcknowledged    logReason = "its host acknowledged a stop"
+	reasonStopRead            logReason = "its host has read a stop"
+	reasonOfferedAgain        logReason = "it was offered to the same host again"
+	reasonConfirmationExpired logReason = "no confirmation came in time"
+	reasonTooMany             logReason = "too many ends are unconfirmed"
 )
 
 // Keys of log attributes.
--- a/internal/scheduler/platform/placed.go
+++ b/internal/scheduler/platform/placed.go
@@ -58,13 +58,13 @@
 			(a.stop.connection != nil && c.now > a.stopDeadline || c.now > a.stopDeadline+undeliveredTimeout)
 	})
 	for _, a := range expired {
-		c.finishTask(a, platform.CauseMigrated, attemptEnd{unconfirmed: true})
+		c.finishTask(a, platform.CauseMigrated, attemptEnd{inferredFrom: reasonStopUnanswered})
 	}
 }
 
 // finishTask ends a placed task, as its host has reported the end or something else shows that it has ended. It
 // releases the task to its owner, unless the owner or the module has ended the task. Of the parameter end, only the
-// fields reason, report and unconfirmed are used.
+// fields reason, report and inferredFrom are used.
 func (c *Core) finishTask(a *taskAttempt, cause platform.Cause, end attemptEnd) {
 	r := a.request
 	cause = endCause(cause)
@@ -104,7 +104,7 @@
 func (c *Core) endLostTasks(h *host, reason logReason) {
 	lost := h.attemptsWhere((*taskAttempt).isPlaced)
 	for _, a := range lost {
-		c.finishTask(a, platform.CauseReset, attemptEnd{unconfirmed: true})
+		c.finishTask(a, platform.CauseReset, attemptEnd{inferredFrom: reason})
 	}
 	if len(lost) > 0 {
 		c.logInfo(messageTasksLost, hostAttr(h.name), reasonAttr(reason), slog.Int(keyTasks, len(lost)))
--- a/internal/scheduler/platform/unconfirmed.go
+++ b/internal/scheduler/platform/unconfirmed.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"log/slog"
 	"slices"
 	"time"
 
@@ -29,14 +28,15 @@
 }
 
 // awaitConfirmation moves an attempt that has ended to the unconfirmed ones of its host.
-func (c *Core) awaitConfirmation(a *taskAttempt) {
+func (c *Core) awaitConfirmation(a *taskAttempt, inferredFrom logReason) {
 	h, ref := a.host, a.request.ref
 	if h.attempts[ref] == a {
 		delete(h.attempts, ref)
 	}
 	if earlier := h.unconfirmed[ref]; earlier != nil {
-		c.confirmEnd(earlier)
+		c.confirmEnd(earlier, reasonOfferedAgain)
 	}
+	c.logInfo(messageEndUnconfirmed, hostAttr(h.name), refAttr(ref), reasonAttr(inferredFrom))
 	a.endedAt = c.now
 	h.unconfirmed[ref] = a
 	c.unconfirmedEnds++
@@ -49,12 +49,12 @@
 // giveUpOldest confirms the oldest unconfirmed end of a host without proof, to bound their number.
 func (c *Core) giveUpOldest(h *host) {
 	oldest := h.unconfirmedInOrder()[0]
-	c.logInfo(messageUnconfirmedDropped, hostAttr(h.name), refAttr(oldest.request.ref))
-	c.confirmEnd(oldest)
+	c.confirmEnd(oldest, reasonTooMany)
 }
 
-// confirmEnd removes an attempt with an unconfirmed end from the counts.
-func (c *Core) confirmEnd(a *taskAttempt) {
+// confirmEnd removes an attempt with an unconfirmed end from the counts, and logs the reason.
+func (c *Core) confirmEnd(a *taskAttempt, reason logReason) {
+	c.logInfo(messageEndConfirmed, hostAttr(a.host.name), refAttr(a.request.ref), reasonAttr(reason))
 	delete(a.host.unconfirmed, a.request.ref)
 	c.unconfirmedEnds--
 	c.removeAttempt(a)
@@ -143,11 +143,11 @@
 	case platform.TypeRelease:
 		// The answer to an offer that says that its task does not run may be a late copy for an earlier offer.
 		if !isRejection(m.Cause) || conn.id == a.offeredOn {
-			c.confirmEnd(a)
+			c.confirmEnd(a, reasonHostReleased)
 		}
 	case platform.TypeAck:
 		if a.stop.connection == conn {
-			c.confirmEnd(a)
+			c.confirmEnd(a, reasonStopAcknowledged)
 		}
 	case platform.TypeBound:
 		a.mayNotStop = false
@@ -169,7 +169,7 @@
 	conn.barrier = barrier{}
 	for _, a := range conn.host.unconfirmedInOrder() {
 		if a.stop.connection == conn && a.stop.at <= sentAt {
-			c.confirmEnd(a)
+			c.confirmEnd(a, reasonStopRead)
 		}
 	}
 }
@@ -232,9 +232,6 @@
 		}
 	}
 	for _, a := range expired {
-		c.confirmEnd(a)
-	}
-	if len(expired) > 0 {
-		c.logInfo(messageUnconfirmedExpired, hostAttr(h.name), slog.Int(keyTasks, len(expired)))
+		c.confirmEnd(a, reasonConfirmationExpired)
 	}
 }
--- a/internal/scheduler/platform/unconfirmed_test.go
+++ b/internal/scheduler/platform/unconfirmed_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -231,3 +232,26 @@
 			before, tasks, w.core.unconfirmedEnds, w.countedAttempts(), maxUnconfirmedEnds, maxUnconfirmedEnds-before)
 	}
 }
+
+// An inferred end and its confirmation have one log line each, with the host, the request and the reason.
+func TestCoreLogsUnconfirmedEndAndItsConfirmation(t *testing.T) {
+	w := newTestCore(t, nil)
+	owner, conn := w.placeTask()
+	w.send(owner, releaseLine(ref1, 16))
+	var logged []string
+	collect := func() {
+		for _, line := range ofType[Log](w.outputs) {
+			logged = append(logged, line.String())
+		}
+	}
+	w.run(2*time.Second, connected, collect)
+	w.step(fromHost(conn, releaseLine(ref1, 31)))
+	collect()
+	want := []string{
+		messageEndUnconfirmed + " host=s-00000001 ref=" + ref1 + " reason=" + string(reasonStopUnanswered),
+		messageEndConfirmed + " host=s-00000001 ref=" + ref1 + " reason=" + string(reasonHostReleased),
+	}
+	if !slices.Equal(logged, want) {
+		t.Errorf("log lines: got %q, want %q", logged, want)
+	}
+}
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		for _, a := range h.unconfirmedInOrder() {
-			c.confirmEnd(a)
+			c.confirmEnd(a, reasonTooMany)
 		}
 		c.unlistedHosts--
 		c.removeHost(h)
--- a/internal/server/platform/server.go
+++ b/internal/server/platform/server.go
@@ -64,6 +64,8 @@
 	shutdown *shutdown
 	stalls   stallDetector
 
+	logLimiter logLimiter
+
 	cancel    context.CancelFunc // ends the watch, and accept's wait for a slot
 	closeOnce sync.Once
 }
@@ -218,6 +220,6 @@
 	case platformcore.ShutdownComplete:
 		s.shutdown.coreComplete(s.clock.Now())
 	case platformcore.Log:
-		s.writeLog(o)
+		s.writeLog(s.clock.Now(), o)
 	}
 }
