--- a/internal/cli/chaos.go
+++ b/internal/cli/chaos.go
@@ -67,6 +67,7 @@
 	flags.IntVar(&f.runs, "repeat", 0, "number of runs, with this seed and the ones after it")
 	flags.IntVar(&f.parallel, "parallel", 1, "with --repeat: number of runs at once")
 	flags.IntVar(&f.busyLoops, "busy", 0, "with --repeat: number of busy loops that compete with the runs for processors")
+	c.AddCommand(a.nodeChaosCommand())
 	flags.DurationVar(&f.maxStop, "stop", 0, "with --repeat: about once a second, stop each run for up to this time")
 	return c
 }
--- a/internal/verify/nodechaos/result.go
+++ b/internal/verify/nodechaos/result.go
@@ -56,6 +56,20 @@
 	return counts
 }
 
+// Text returns the plan as lines: its shape, then one line for each fault and signal.
+func (p *Plan) Text() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "seed %d: %v, %d placers, %d hosts in %d racks, tasks run %v to %v, released after %v\n",
+		p.Seed, p.Length, p.Placers, p.Hosts, p.Racks, p.RunTime.Min, p.RunTime.Max, p.ReleaseAfter)
+	for _, f := range p.Faults {
+		fmt.Fprintf(&text, "  %v for %v: %s, target %+v, amount %v\n", f.At, f.Duration, f.Type, f.Target, f.Amount)
+	}
+	for _, s := range p.Signals {
+		fmt.Fprintf(&text, "  %v: %v to placer %d, %v\n", s.At, s.Signal, s.Placer, s.RestartDelay)
+	}
+	return text.String()
+}
+
 // Text returns the seed, the first breaches and the timeline of the first request concerned.
 func (r *Result) Text() string {
 	var text strings.Builder
