--- a/internal/verify/nodechaos/draw.go
+++ b/internal/verify/nodechaos/draw.go
@@ -12,7 +12,7 @@
 const (
 	drawnLength      = 20 * time.Second
 	firstFaultAt     = 2 * time.Second
-	quietAtEnd       = 4 * time.Second // no fault begins in this time before the end
+	faultFreeEnd       = 4 * time.Second // no fault begins in this time before the end
 	minDrawnFaults   = 3
 	maxDrawnFaults   = 10
 	maxDrawnSignals  = 4
@@ -67,8 +67,8 @@
 }
 
 func (p *Plan) drawFault(rng *rand.Rand) platformmodel.Fault {
-	f := platformmodel.Fault{At: drawDuration(rng, firstFaultAt, p.Length-quietAtEnd)}
-	longest := min(maxFaultDuration, p.Length-quietAtEnd-f.At)
+	f := platformmodel.Fault{At: drawDuration(rng, firstFaultAt, p.Length-faultFreeEnd)}
+	longest := min(maxFaultDuration, p.Length-faultFreeEnd-f.At)
 	f.Duration = drawDuration(rng, 50*time.Millisecond, max(longest, 100*time.Millisecond))
 	f.Amount = drawDuration(rng, 10*time.Millisecond, 800*time.Millisecond)
 	switch n := rng.IntN(10); {
@@ -87,7 +87,7 @@
 
 func (p *Plan) drawSignal(rng *rand.Rand) Signal {
 	s := Signal{
-		At: drawDuration(rng, firstFaultAt, p.Length-quietAtEnd), Placer: rng.IntN(p.Placers),
+		At: drawDuration(rng, firstFaultAt, p.Length-faultFreeEnd), Placer: rng.IntN(p.Placers),
 		RestartDelay: drawDuration(rng, 50*time.Millisecond, maxStop),
 	}
 	s.Signal = [...]syscall.Signal{syscall.SIGTERM, syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGHUP}[rng.IntN(4)]
--- a/internal/verify/nodechaos/run.go
+++ b/internal/verify/nodechaos/run.go
@@ -11,6 +11,7 @@
 
 	emulator "forkhead/internal/emulator/platform"
 	"forkhead/internal/emulator/platformmodel"
+	"forkhead/internal/server/clock"
 	"forkhead/internal/verify/noderules"
 )
 
@@ -152,7 +153,7 @@
 		p.kill()
 		return r.startAgain(ctx, p, s, from)
 	case syscall.SIGSTOP:
-		if err := sleep(ctx, s.RestartDelay); err != nil {
+		if err := clock.Sleep(ctx, s.RestartDelay); err != nil {
 			return err
 		}
 		if err := p.signal(syscall.SIGCONT); err != nil {
@@ -183,7 +184,7 @@
 // startAgain starts a placer whose process has ended. It records that the placer could not act from a time until now.
 func (r *run) startAgain(ctx context.Context, p *process, s *Signal, from time.Duration) error {
 	r.emulator.PlacerStopped(p.placer)
-	if err := sleep(ctx, s.RestartDelay); err != nil {
+	if err := clock.Sleep(ctx, s.RestartDelay); err != nil {
 		return err
 	}
 	if err := r.start(p); err != nil {
@@ -214,15 +215,4 @@
 	return result
 }
 
-func sleep(ctx context.Context, d time.Duration) error { return sleepUntil(ctx, time.Now().Add(d)) }
-
-func sleepUntil(ctx context.Context, at time.Time) error {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
+func sleepUntil(ctx context.Context, at time.Time) error { return clock.Sleep(ctx, time.Until(at)) }
--- a/internal/verify/noderules/answers.go
+++ b/internal/verify/noderules/answers.go
@@ -25,7 +25,7 @@
 	conn         platformmodel.ConnID // connection on which it was submitted
 	sentAt       time.Duration        // when the submission was written; 0: not yet
 	handedOverAt time.Duration        // when its latest hand-over was written; 0: never
-	leftAt       time.Duration        // when the owner withdrew, released or left it; 0: not yet
+	departedAt   time.Duration        // when the owner withdrew, released or left it; 0: not yet
 	answeredAt   time.Duration        // when the first answer came; 0: not yet
 	placed       bool                 // the first answer says that the task runs
 	releasedAt   time.Duration        // when the first release after that answer came; 0: not yet
@@ -63,17 +63,17 @@
 	extras, _ := e.message.Text(platform.FieldExtras)
 	switch {
 	case e.message.Type == platform.TypeRelease:
-		r.leave(e.At)
+		r.depart(e.At)
 	case e.message.Type == platform.TypeRequest && isHandOver(extras):
 		r.handedOverAt = e.At
 	case e.message.Type == platform.TypeRequest:
-		r.sentAt, r.conn, r.leftAt, r.owner = e.At, e.Conn, 0, e.Party.Number
+		r.sentAt, r.conn, r.departedAt, r.owner = e.At, e.Conn, 0, e.Party.Number
 	}
 }
 
-func (r *request) leave(at time.Duration) {
-	if r.leftAt == 0 {
-		r.leftAt = at
+func (r *request) depart(at time.Duration) {
+	if r.departedAt == 0 {
+		r.departedAt = at
 	}
 }
 
@@ -82,7 +82,7 @@
 func (c *checker) handleReceivedByOwner(r *request, e *entry) {
 	switch e.message.Type {
 	case platform.TypeBound:
-		if r.answeredAt > 0 && r.leftAt == 0 {
+		if r.answeredAt > 0 && r.departedAt == 0 {
 			c.breach(e, RuleAnswer, "the owner receives a second answer")
 		}
 		if r.answeredAt == 0 {
@@ -94,7 +94,7 @@
 			r.answeredAt = e.At
 		case r.placed && r.releasedAt == 0:
 			r.releasedAt = e.At
-		case r.leftAt == 0:
+		case r.departedAt == 0:
 			c.breach(e, RuleAnswer, "the owner receives a message after the end of the request")
 		}
 	}
@@ -115,10 +115,10 @@
 func (c *checker) handleOwnerClosed(e *entry) {
 	for _, ref := range c.refs {
 		r := c.requests[ref]
-		if r.conn != e.Conn || r.sentAt == 0 || r.answeredAt > 0 || r.leftAt > 0 {
+		if r.conn != e.Conn || r.sentAt == 0 || r.answeredAt > 0 || r.departedAt > 0 {
 			continue
 		}
-		r.leftAt = e.At
+		r.departedAt = e.At
 		if e.Event == platformmodel.RecordClosedByPlacer && !c.wasStalled(r.placer, r.sentAt, e.At) && !c.endedInShutdown(r, e.At) {
 			c.breachAt(e.At, r, "the placer closes the owner's connection without an answer to what came %v before", e.At-r.sentAt)
 		}
@@ -167,7 +167,7 @@
 func (c *checker) checkAnswered(r *request) {
 	due := r.sentAt + r.timeout() + answerSlack + limitSlack
 	isLate := r.answeredAt > due || r.answeredAt == 0 && c.lastAt > due
-	leftBefore := r.leftAt > 0 && r.leftAt < due
+	leftBefore := r.departedAt > 0 && r.departedAt < due
 	if isLate && !leftBefore && !c.wasStalled(r.placer, r.sentAt, due) && !c.couldNotRead(r, r.sentAt, due) {
 		c.breachAt(due, r, "no answer within the owner's time; answered at %v", r.answeredAt)
 	}
@@ -175,7 +175,7 @@
 
 func (c *checker) checkEndNotified(r *request) {
 	due := r.endedAt + noticeLimit + limitSlack
-	isNotified := r.releasedAt > 0 && r.releasedAt <= due || r.leftAt > 0 && r.leftAt <= due
+	isNotified := r.releasedAt > 0 && r.releasedAt <= due || r.departedAt > 0 && r.departedAt <= due
 	if c.lastAt > due && !isNotified && !c.wasStalled(r.placer, r.endedAt, due) && !c.couldNotRead(r, r.endedAt, due) {
 		c.breachAt(due, r, "its task ended at %v and its owner was notified at %v", r.endedAt, r.releasedAt)
 	}
--- a/internal/verify/noderules/offers.go
+++ b/internal/verify/noderules/offers.go
@@ -107,8 +107,8 @@
 	if since, draining := h.drainingAt[e.Placer]; draining && e.At > since+c.cfg.DrainGrace+limitSlack {
 		c.breach(e, RuleDrain, "offered to %v, which was listed as draining %v before", e.Party, e.At-since)
 	}
-	if r.leftAt > 0 && e.At > r.leftAt+departedSlack {
-		c.breach(e, RuleDeparted, "offered to %v %v after the owner had left it", e.Party, e.At-r.leftAt)
+	if r.departedAt > 0 && e.At > r.departedAt+departedSlack {
+		c.breach(e, RuleDeparted, "offered to %v %v after the owner had left it", e.Party, e.At-r.departedAt)
 	}
 	text, _ := e.message.Text(platform.FieldTimeout)
 	if left, err := strconv.ParseFloat(text, 64); err == nil && r.sentAt > 0 {
