--- a/internal/verify/nodechaos/draw.go
+++ b/internal/verify/nodechaos/draw.go
@@ -12,7 +12,7 @@
 const (
 	drawnLength      = 20 * time.Second
 	firstFaultAt     = 2 * time.Second
-	faultFreeEnd       = 4 * time.Second // no fault begins in this time before the end
+	faultFreeEnd     = 4 * time.Second // no fault begins in this time before the end
 	minDrawnFaults   = 3
 	maxDrawnFaults   = 10
 	maxDrawnSignals  = 4
--- a/internal/verify/noderules/noderules_test.go
+++ b/internal/verify/noderules/noderules_test.go
@@ -79,9 +79,9 @@
 	j.ownerReceives(platform.TypeBound, ref)
 }
 
-// listEvent records a watch event that is written to the placer.
-func (j *testJournal) listEvent(host int, state platform.EndpointState, startedAtMS float64) {
-	data := fmt.Sprintf("id: 2\ndata: {\"seq\":2,\"fleet\":{\"whole\":false,\"hosts\":[{\"host\":\"s-%08x\",\"health\":\"%s\",\"born_ms\":%g}]}}\n\n", host+1, state, startedAtMS)
+// listEvent records a watch event about host 0 that is written to the placer.
+func (j *testJournal) listEvent(state platform.EndpointState, startedAtMS float64) {
+	data := fmt.Sprintf("id: 2\ndata: {\"seq\":2,\"fleet\":{\"whole\":false,\"hosts\":[{\"host\":\"s-00000001\",\"health\":\"%s\",\"born_ms\":%g}]}}\n\n", state, startedAtMS)
 	j.add(platformmodel.Record{Event: platformmodel.RecordWritten, Party: platformmodel.PartyID{Kind: platformmodel.EndpointLogParty}, Data: []byte(data)})
 }
 
@@ -99,104 +99,107 @@
 	return Check(cfg, [][]platformmodel.RequestReport{{report(refA, 0, 1), report(refB, 0, 1), report(refUnsafe, 1, 2)}}, &j.Journal)
 }
 
+// breachCases are journals by name, with the rule that each breaks.
+var breachCases = map[string]struct {
+	play func(j *testJournal)
+	want Rule // "" for no breach
+}{
+	"spread kept":        {func(j *testJournal) { j.place(0, refA); j.place(2, refB) }, ""},
+	"spread in one rack": {func(j *testJournal) { j.place(0, refA); j.place(1, refB) }, RuleSpread},
+	"spread after a release": {func(j *testJournal) {
+		j.place(0, refA)
+		j.hostSends(0, platform.TypeRelease, refA, platform.CauseOK)
+		j.ownerReceives(platform.TypeRelease, refA)
+		j.place(1, refB)
+	}, ""},
+	"unsafe after a rejection": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refUnsafe)
+		j.offer(0, refUnsafe, "1500")
+		j.hostSends(0, platform.TypeRelease, refUnsafe, platform.CauseRejected)
+		j.offer(2, refUnsafe, "1500")
+		j.ownerReceives(platform.TypeRelease, refUnsafe)
+	}, ""},
+	"unsafe after an error": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refUnsafe)
+		j.offer(0, refUnsafe, "1500")
+		j.hostSends(0, platform.TypeRelease, refUnsafe, platform.CauseFailed)
+		j.offer(2, refUnsafe, "1500")
+		j.ownerReceives(platform.TypeRelease, refUnsafe)
+	}, RuleNoRepeat},
+	"two attempts at once": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refA)
+		j.offer(0, refA, "1500")
+		j.offer(2, refA, "1500")
+		j.ownerReceives(platform.TypeRelease, refA)
+	}, RuleNoRepeat},
+	"answered twice": {func(j *testJournal) { j.place(0, refA); j.ownerReceives(platform.TypeBound, refA) }, RuleAnswer},
+	"released twice": {func(j *testJournal) {
+		j.place(0, refA)
+		j.hostSends(0, platform.TypeRelease, refA, platform.CauseOK)
+		j.ownerReceives(platform.TypeRelease, refA)
+		j.ownerReceives(platform.TypeRelease, refA)
+	}, RuleAnswer},
+	"never answered": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refA)
+		j.wait(3 * time.Second)
+		j.listEvent(platform.InService, 0)
+	}, RuleAnswer},
+	"end not notified": {func(j *testJournal) {
+		j.place(0, refA)
+		j.add(platformmodel.Record{Event: platformmodel.RecordHostDown})
+		j.wait(9 * time.Second)
+		j.listEvent(platform.InService, 0)
+	}, RuleAnswer},
+	"task left running": {func(j *testJournal) {
+		j.place(0, refA)
+		j.ownerReceives(platform.TypeRelease, refA)
+		j.wait(11 * time.Second)
+		j.listEvent(platform.InService, 0)
+	}, RuleAnswer},
+	"closed without an answer": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refA)
+		j.add(platformmodel.Record{Event: platformmodel.RecordClosedByPlacer, Party: platformmodel.PartyID{Kind: platformmodel.OwnerParty}, Conn: ownerConn})
+	}, RuleAnswer},
+	"more time than left": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refA)
+		j.wait(200 * time.Millisecond)
+		j.offer(0, refA, "1500")
+		j.ownerReceives(platform.TypeRelease, refA)
+	}, RuleDeadline},
+	"time within the slack": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refA)
+		j.wait(100 * time.Millisecond)
+		j.offer(0, refA, "1500")
+		j.ownerReceives(platform.TypeRelease, refA)
+	}, ""},
+	"offered after withdrawal": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refA)
+		j.ownerWrites(platform.TypeRelease, refA)
+		j.wait(150 * time.Millisecond)
+		j.offer(0, refA, "1000")
+	}, RuleDeparted},
+	"offered past the drain's grace": {func(j *testJournal) {
+		j.listEvent(platform.Terminating, 0)
+		j.wait(400 * time.Millisecond)
+		j.place(0, refA)
+	}, RuleDrain},
+	"offered within the grace": {func(j *testJournal) {
+		j.listEvent(platform.Terminating, 0)
+		j.wait(200 * time.Millisecond)
+		j.place(0, refA)
+	}, ""},
+	"too many offers in slow start": {func(j *testJournal) {
+		j.listEvent(platform.InService, 1)
+		j.wait(100 * time.Millisecond)
+		for range 8 {
+			j.offer(0, refA, "1000")
+		}
+	}, RuleSlowStart},
+}
+
 // Each rule is found broken in a journal that breaks it, and only then.
 func TestCheckFindsBreaches(t *testing.T) {
-	for name, c := range map[string]struct {
-		play func(j *testJournal)
-		want Rule // "" for no breach
-	}{
-		"spread kept":        {func(j *testJournal) { j.place(0, refA); j.place(2, refB) }, ""},
-		"spread in one rack": {func(j *testJournal) { j.place(0, refA); j.place(1, refB) }, RuleSpread},
-		"spread after a release": {func(j *testJournal) {
-			j.place(0, refA)
-			j.hostSends(0, platform.TypeRelease, refA, platform.CauseOK)
-			j.ownerReceives(platform.TypeRelease, refA)
-			j.place(1, refB)
-		}, ""},
-		"unsafe after a rejection": {func(j *testJournal) {
-			j.ownerWrites(platform.TypeRequest, refUnsafe)
-			j.offer(0, refUnsafe, "1500")
-			j.hostSends(0, platform.TypeRelease, refUnsafe, platform.CauseRejected)
-			j.offer(2, refUnsafe, "1500")
-			j.ownerReceives(platform.TypeRelease, refUnsafe)
-		}, ""},
-		"unsafe after an error": {func(j *testJournal) {
-			j.ownerWrites(platform.TypeRequest, refUnsafe)
-			j.offer(0, refUnsafe, "1500")
-			j.hostSends(0, platform.TypeRelease, refUnsafe, platform.CauseFailed)
-			j.offer(2, refUnsafe, "1500")
-			j.ownerReceives(platform.TypeRelease, refUnsafe)
-		}, RuleNoRepeat},
-		"two attempts at once": {func(j *testJournal) {
-			j.ownerWrites(platform.TypeRequest, refA)
-			j.offer(0, refA, "1500")
-			j.offer(2, refA, "1500")
-			j.ownerReceives(platform.TypeRelease, refA)
-		}, RuleNoRepeat},
-		"answered twice": {func(j *testJournal) { j.place(0, refA); j.ownerReceives(platform.TypeBound, refA) }, RuleAnswer},
-		"released twice": {func(j *testJournal) {
-			j.place(0, refA)
-			j.hostSends(0, platform.TypeRelease, refA, platform.CauseOK)
-			j.ownerReceives(platform.TypeRelease, refA)
-			j.ownerReceives(platform.TypeRelease, refA)
-		}, RuleAnswer},
-		"never answered": {func(j *testJournal) {
-			j.ownerWrites(platform.TypeRequest, refA)
-			j.wait(3 * time.Second)
-			j.listEvent(0, platform.InService, 0)
-		}, RuleAnswer},
-		"end not notified": {func(j *testJournal) {
-			j.place(0, refA)
-			j.add(platformmodel.Record{Event: platformmodel.RecordHostDown})
-			j.wait(9 * time.Second)
-			j.listEvent(0, platform.InService, 0)
-		}, RuleAnswer},
-		"task left running": {func(j *testJournal) {
-			j.place(0, refA)
-			j.ownerReceives(platform.TypeRelease, refA)
-			j.wait(11 * time.Second)
-			j.listEvent(0, platform.InService, 0)
-		}, RuleAnswer},
-		"closed without an answer": {func(j *testJournal) {
-			j.ownerWrites(platform.TypeRequest, refA)
-			j.add(platformmodel.Record{Event: platformmodel.RecordClosedByPlacer, Party: platformmodel.PartyID{Kind: platformmodel.OwnerParty}, Conn: ownerConn})
-		}, RuleAnswer},
-		"more time than left": {func(j *testJournal) {
-			j.ownerWrites(platform.TypeRequest, refA)
-			j.wait(200 * time.Millisecond)
-			j.offer(0, refA, "1500")
-			j.ownerReceives(platform.TypeRelease, refA)
-		}, RuleDeadline},
-		"time within the slack": {func(j *testJournal) {
-			j.ownerWrites(platform.TypeRequest, refA)
-			j.wait(100 * time.Millisecond)
-			j.offer(0, refA, "1500")
-			j.ownerReceives(platform.TypeRelease, refA)
-		}, ""},
-		"offered after withdrawal": {func(j *testJournal) {
-			j.ownerWrites(platform.TypeRequest, refA)
-			j.ownerWrites(platform.TypeRelease, refA)
-			j.wait(150 * time.Millisecond)
-			j.offer(0, refA, "1000")
-		}, RuleDeparted},
-		"offered past the drain's grace": {func(j *testJournal) {
-			j.listEvent(0, platform.Terminating, 0)
-			j.wait(400 * time.Millisecond)
-			j.place(0, refA)
-		}, RuleDrain},
-		"offered within the grace": {func(j *testJournal) {
-			j.listEvent(0, platform.Terminating, 0)
-			j.wait(200 * time.Millisecond)
-			j.place(0, refA)
-		}, ""},
-		"too many offers in slow start": {func(j *testJournal) {
-			j.listEvent(0, platform.InService, 1)
-			j.wait(100 * time.Millisecond)
-			for range 8 {
-				j.offer(0, refA, "1000")
-			}
-		}, RuleSlowStart},
-	} {
+	for name, c := range breachCases {
 		t.Run(name, func(t *testing.T) {
 			j := newTestJournal()
 			c.play(j)
