noderules: two attempts count as one out once the placer has closed the connection of one of them

The placer closes a connection before it writes the next offer (server.execute, then writes.flush), and closing gives up the attempt by the protocol; the emulator reads two connections in either order on a busy machine.

Change: a pair of attempts is a breach unless one of their connections is closed, or the attempt withdrawn, within the platform's slack of 50 ms. Three journals in TestCheckFindsBreaches: given up in time, in either order, and too late.

--- a/internal/verify/noderules/checker.go
+++ b/internal/verify/noderules/checker.go
@@ -22,6 +22,7 @@
 	lastFaultAt     map[int]time.Duration // by number of the host: when a fault last began or ended
 	notReading      map[int][]Stall       // by number of the owner: when a fault kept it from reading
 	lastAt          time.Duration
+	parallel        []parallelAttempts
 	breaches        []Breach
 }
 
@@ -68,7 +69,9 @@
 			c.lastFaultAt[e.Party.Number] = e.At
 		}
 		if e.direction == readFromPlacer && e.message.Type == platform.TypeRelease {
-			c.withdrawn[withdrawal{e.Conn, e.message.Ref}] = true
+			withdrawn := withdrawal{e.Conn, e.message.Ref}
+			c.withdrawn[withdrawn] = true
+			c.giveUp(e.At, func(w withdrawal) bool { return w == withdrawn })
 		}
 		c.handleAtHost(e)
 	case platformmodel.OwnerParty:
--- a/internal/verify/noderules/noderules.go
+++ b/internal/verify/noderules/noderules.go
@@ -90,6 +90,9 @@
 	for _, m := range readMessages(journal) {
 		c.handle(&m)
 	}
+	for _, p := range c.parallel {
+		c.breaches = append(c.breaches, p.breach)
+	}
 	c.checkRequests()
 	slices.SortStableFunc(c.breaches, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
 	return c.breaches
--- a/internal/verify/noderules/noderules_test.go
+++ b/internal/verify/noderules/noderules_test.go
@@ -126,6 +126,30 @@
 		j.offer(2, refUnsafe, "1500")
 		j.ownerReceives(platform.TypeRelease, refUnsafe)
 	}, RuleNoRepeat},
+	"two attempts, the first given up": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refA)
+		j.offer(0, refA, "1500")
+		j.offer(2, refA, "1500")
+		j.wait(time.Millisecond)
+		j.add(platformmodel.Record{Event: platformmodel.RecordClosedByPlacer, Conn: 1})
+		j.ownerReceives(platform.TypeRelease, refA)
+	}, ""},
+	"two attempts, the first read last": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refA)
+		j.offer(0, refA, "1500")
+		j.offer(2, refA, "1500")
+		j.wait(time.Millisecond)
+		j.add(platformmodel.Record{Event: platformmodel.RecordClosedByPlacer, Party: platformmodel.PartyID{Number: 2}, Conn: 3})
+		j.ownerReceives(platform.TypeRelease, refA)
+	}, ""},
+	"two attempts, the first given up late": {func(j *testJournal) {
+		j.ownerWrites(platform.TypeRequest, refA)
+		j.offer(0, refA, "1500")
+		j.offer(2, refA, "1500")
+		j.wait(60 * time.Millisecond)
+		j.add(platformmodel.Record{Event: platformmodel.RecordClosedByPlacer, Conn: 1})
+		j.ownerReceives(platform.TypeRelease, refA)
+	}, RuleNoRepeat},
 	"two attempts at once": {func(j *testJournal) {
 		j.ownerWrites(platform.TypeRequest, refA)
 		j.offer(0, refA, "1500")
--- a/internal/verify/noderules/tasks.go
+++ b/internal/verify/noderules/tasks.go
@@ -50,6 +50,7 @@
 		c.handleReceivedByHost(h, e)
 	case platformmodel.RecordClosedByPlacer, platformmodel.RecordClosedByEmulator:
 		h.dropOffersOf(e.Conn)
+		c.giveUp(e.At, func(w withdrawal) bool { return w.conn == e.Conn })
 	case platformmodel.RecordHostDown:
 		h.endAll(e.At)
 	case platformmodel.RecordHostUp:
--- a/internal/verify/noderules/timeline.go
+++ b/internal/verify/noderules/timeline.go
@@ -76,10 +76,11 @@
 	return noMessage
 }
 
-// Timeline returns the messages about a request and the faults and restarts meanwhile, one line each. Times count from
-// begin.
+// Timeline returns the messages about a request, the ends of their connections, and the faults and restarts meanwhile, one
+// line each. Times count from begin.
 func Timeline(journal *platformmodel.Journal, ref string, begin time.Duration) []string {
 	var lines []string
+	concerned := map[platformmodel.ConnID]bool{} // connections with a message about the request
 	for i := range journal.Records {
 		r := &journal.Records[i]
 		at := fmt.Sprintf("%8.3f", (r.At - begin).Seconds())
@@ -92,8 +93,14 @@
 			lines = append(lines, fmt.Sprintf("%s %v: up %v", at, r.Party, r.Event == platformmodel.RecordHostUp))
 		case platformmodel.RecordPlacerStarted, platformmodel.RecordPlacerStopped:
 			lines = append(lines, fmt.Sprintf("%s placer %d: up %v", at, r.Placer, r.Event == platformmodel.RecordPlacerStarted))
+		case platformmodel.RecordClosedByPlacer, platformmodel.RecordClosedByEmulator:
+			if concerned[r.Conn] {
+				byPlacer := r.Event == platformmodel.RecordClosedByPlacer
+				lines = append(lines, fmt.Sprintf("%s %v: connection %d ends, closed by the placer %v", at, r.Party, r.Conn, byPlacer))
+			}
 		case platformmodel.RecordSent, platformmodel.RecordReceived:
 			if bytes.Contains(r.Data, []byte(ref)) {
+				concerned[r.Conn] = true
 				verb := "sends"
 				if r.Event == platformmodel.RecordReceived {
 					verb = "receives"
