platform: a probe confirms no end whose stop follows it in the same step

Cause, found by reading while a breach was traced: handleBarrierResult compared times, and all messages of a step have the same one, so that a stop sent behind the probe counted as read. Change: stops and probes are numbered in the order in which they are sent. Result: TestCoreConfirmsNoEndWhoseStopFollowsTheProbe fails with the comparison widened and passes.

--- a/internal/scheduler/platform/attempt.go
+++ b/internal/scheduler/platform/attempt.go
@@ -222,7 +222,7 @@
 	if a.isInFlight() {
 		if a.connection != nil && c.settings.MayWithdraw {
 			c.emit(SendToHost{Connection: a.connection.id, Line: stopMessage(a.request.ref), Abandons: true})
-			a.stop = stopMessageSent{connection: a.connection, at: c.now}
+			a.stop = stopMessageSent{a.connection, c.now, c.nextStopNumber()}
 		}
 		c.abandoned.add(a.key())
 		end.inferredFrom, a.mayNotStop = reasonWithdrawn, !c.settings.MayWithdraw
--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -30,11 +30,12 @@
 	unanswered        int                                     // number of open requests
 	attemptsByService invariant.ServiceAttempts[*taskAttempt] // live attempts
 	unconfirmedEnds   int                                     // number of attempts with an unconfirmed end
-	newlyUnconfirmed  []*taskAttempt                          // ended unconfirmed in the current step; stopped at its end
-	finished          []*request                              // requests to check for removal at the end of the step
-	abandoned         recent[attemptKey]                      // attempts no longer awaited whose task may run
-	reportedEnds      recent[reportedEnd]                     // ends of tasks, also under unknown refs
-	deliveredReleases recent[deliveredRelease]                // releases of tasks that had ended before their hand-over
+	lastStopNumber    uint64
+	newlyUnconfirmed  []*taskAttempt           // ended unconfirmed in the current step; stopped at its end
+	finished          []*request               // requests to check for removal at the end of the step
+	abandoned         recent[attemptKey]       // attempts no longer awaited whose task may run
+	reportedEnds      recent[reportedEnd]      // ends of tasks, also under unknown refs
+	deliveredReleases recent[deliveredRelease] // releases of tasks that had ended before their hand-over
 
 	owners      map[OwnerID]*ownerConnection
 	undelivered []undeliveredMessage // oldest first
--- a/internal/scheduler/platform/unconfirmed.go
+++ b/internal/scheduler/platform/unconfirmed.go
@@ -19,12 +19,20 @@
 type stopMessageSent struct {
 	connection *hostConnection // nil: no stop was sent
 	at         time.Duration
+	number     uint64 // position among all stops and barriers, in the order in which they were sent
 }
 
 // barrier is a probe that was sent behind stops on a connection.
 type barrier struct {
 	ref    requestRef // "": none awaits its result
-	sentAt time.Duration
+	number uint64     // position among all stops and barriers, in the order in which they were sent
+}
+
+// nextStopNumber returns the position of a stop or a barrier that is being sent. Their times do not tell their order, as
+// several are sent in one step.
+func (c *Core) nextStopNumber() uint64 {
+	c.lastStopNumber++
+	return c.lastStopNumber
 }
 
 // awaitConfirmation moves an attempt that has ended to the unconfirmed ones of its host.
@@ -102,7 +110,7 @@
 }
 
 func (c *Core) sendStopOn(conn *hostConnection, a *taskAttempt) {
-	a.stop = stopMessageSent{connection: conn, at: c.now}
+	a.stop = stopMessageSent{conn, c.now, c.nextStopNumber()}
 	c.sendStop(conn, a.request.ref)
 }
 
@@ -165,10 +173,10 @@
 	if conn.barrier.ref != ref {
 		return
 	}
-	sentAt := conn.barrier.sentAt
-	conn.barrier = barrier{}
+	number := conn.barrier.number
+	conn.barrier.ref = ""
 	for _, a := range conn.host.unconfirmedInOrder() {
-		if a.stop.connection == conn && a.stop.at <= sentAt {
+		if a.stop.connection == conn && a.stop.number < number {
 			c.confirmEnd(a, reasonStopRead)
 		}
 	}
@@ -210,8 +218,8 @@
 	}
 	for _, a := range h.unconfirmedInOrder() {
 		conn := a.stop.connection
-		if a.stop.isOnOpenConnection() && c.now >= a.stop.at+barrierDelay && conn.barrier.sentAt < a.stop.at {
-			conn.barrier = barrier{c.sendProbeMessage(conn), c.now}
+		if a.stop.isOnOpenConnection() && c.now >= a.stop.at+barrierDelay && conn.barrier.number < a.stop.number {
+			conn.barrier = barrier{c.sendProbeMessage(conn), c.nextStopNumber()}
 		}
 	}
 }
--- a/internal/scheduler/platform/unconfirmed_test.go
+++ b/internal/scheduler/platform/unconfirmed_test.go
@@ -255,3 +255,26 @@
 		t.Errorf("log lines: got %q, want %q", logged, want)
 	}
 }
+
+// The result of a probe confirms only the ends whose stops were sent before the probe, not those that follow it in the
+// same step.
+func TestCoreConfirmsNoEndWhoseStopFollowsTheProbe(t *testing.T) {
+	w := newTestCore(t, mayProbe)
+	owner, conn := w.placeTask()
+	w.send(owner, requestLine(ref2, "keyed", "")) // in flight on the same connection
+	w.send(owner, releaseLine(ref1, 16))
+	var refs []string
+	for end := w.now + 5*time.Second; len(refs) == 0 && w.now < end; { // the stop is not answered, and a probe follows it
+		w.now += 10 * time.Millisecond
+		refs = probeRefs(w.step())
+	}
+	if len(refs) != 1 || w.core.hosts[1].unconfirmed[ref1] == nil {
+		t.Fatalf("got %d probes behind the unanswered stop, want 1; first end unconfirmed %v, want true", len(refs), w.core.hosts[1].unconfirmed[ref1] != nil)
+	}
+	w.send(owner, releaseLine(ref2, 16)) // the stop of the second task is sent at the time of the probe, but behind it
+	w.step(fromHost(conn, `{"t":"hb_ok","ref":"`+refs[0]+`","f":{},"c":1}`))
+	if w.core.hosts[1].unconfirmed[ref2] == nil || w.core.hosts[1].unconfirmed[ref1] != nil {
+		t.Errorf("after the probe's result: first end unconfirmed %v, second %v; want false and true",
+			w.core.hosts[1].unconfirmed[ref1] != nil, w.core.hosts[1].unconfirmed[ref2] != nil)
+	}
+}
