--- a/internal/emulator/platformmodel/emulator.go
+++ b/internal/emulator/platformmodel/emulator.go
@@ -364,6 +364,8 @@
 		case Send:
 			if l := e.links[a.Conn]; l != nil {
 				e.send(l, a)
+			} else { // an earlier action has ended the connection; the party has acted all the same
+				e.journal.add(Record{At: e.now, Event: RecordSent, Party: p.id, Conn: a.Conn, Data: a.Data})
 			}
 		case Close:
 			if l := e.links[a.Conn]; l != nil {
