--- a/internal/scheduler/platform/handover.go
+++ b/internal/scheduler/platform/handover.go
@@ -25,7 +25,7 @@
 	}
 	c.logSecondHandOver(h, decoded)
 	a := c.takeOver(owner, h, decoded)
-	if h.isGone(c.now) {
+	if c.isGone(h) {
 		c.finishTask(a, platform.CauseReset, attemptEnd{inferredFrom: reasonRemoved})
 	}
 }
--- a/internal/scheduler/platform/unconfirmed_test.go
+++ b/internal/scheduler/platform/unconfirmed_test.go
@@ -278,3 +278,18 @@
 			w.core.hosts[1].unconfirmed[ref1] != nil, w.core.hosts[1].unconfirmed[ref2] != nil)
 	}
 }
+
+// A removed host is gone although its address answers, if the endpoint list has another host there.
+func TestCoreLosesTasksOfRemovedHostWhoseAddressIsTaken(t *testing.T) {
+	w := newTestCore(t, mayProbe)
+	_, conn := w.placeTask()
+	event := hostChanged(1, platform.Terminated)
+	taken := endpoint(3, platform.InService)
+	taken.Address = event.Event.Endpoints.Hosts[0].Address
+	event.Event.Endpoints.Hosts = append(event.Event.Endpoints.Hosts, taken)
+	refs := probeRefs(w.step(event))
+	w.now += 10 * time.Millisecond
+	w.step(fromHost(conn, `{"t":"hb_ok","ref":"`+refs[0]+`","f":{},"c":1}`)) // from the other host
+	w.run(time.Second, connected, func() {})
+	w.wantUnconfirmed()
+}
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -70,7 +70,7 @@
 	if c.now <= h.removedAt+removedGrace {
 		return
 	}
-	if h.isGone(c.now) {
+	if c.isGone(h) {
 		c.endLostTasks(h, reasonRemoved)
 	} else {
 		c.reconcileResponsiveness(h)
@@ -82,8 +82,16 @@
 }
 
 // isGone reports whether the endpoint list has had a host as removed for removedGrace and the host shows no sign of life.
-func (h *host) isGone(now time.Duration) bool {
-	return h.entry.State == forkhead.Removed && now > h.removedAt+removedGrace && !h.isAliveAfterRemoval()
+// What answers at its address is no sign of life if the list has another host there.
+func (c *Core) isGone(h *host) bool {
+	return h.entry.State == forkhead.Removed && c.now > h.removedAt+removedGrace && (!h.isAliveAfterRemoval() || c.hasOtherHostAt(h))
+}
+
+// hasOtherHostAt reports whether the endpoint list has another host at a host's address.
+func (c *Core) hasOtherHostAt(h *host) bool {
+	return slices.ContainsFunc(c.hostsInOrder(), func(other *host) bool {
+		return other != h && other.address == h.address && other.entry.State != forkhead.Removed
+	})
 }
 
 // isAliveAfterRemoval reports whether a host that the endpoint list has as removed has sent something since then, on a
