--- a/review/standin/case3.go
+++ b/review/standin/case3.go
@@ -35,7 +35,7 @@
 	}
 	if r.trouble {
 		for c := range floodClients {
-			go floodFrom(r, w.placer.addr, c)
+			go floodFrom(r, w.placer.addr, c, floodEach, floodText)
 		}
 	}
 	for range floodLooks {
@@ -70,14 +70,14 @@
 }
 
 // floodFrom sends the set-ups of one bad client at full speed.
-func floodFrom(r *run, addr string, number int) {
+func floodFrom(r *run, addr string, number, count, text int) {
 	client := newOwner(r.rec, fmt.Sprintf("bad%d", number), addr)
 	if client.connect() != nil {
 		return
 	}
 	a := smallAsk("keyed", uint64(100+number))
-	a.text = strings.Repeat("x", floodText)
-	for range floodEach {
+	a.text = strings.Repeat("x", text)
+	for range count {
 		client.send(a)
 	}
 }
--- a/review/standin/further.go
+++ b/review/standin/further.go
@@ -155,3 +155,49 @@
 	}
 	return nil
 }
+
+// longQueue lets bad clients send hundreds of small set-ups at once while the hosts are full; the list has 400 hosts. The
+// rule is broken if a usual owner's request is answered later than half a second after its time.
+func longQueue(r *run) error {
+	w, err := newWorld(r, worldConfig{hosts: 4, full: 396, memoryMB: 192})
+	if err != nil {
+		return err
+	}
+	defer w.stop()
+	for _, h := range w.hosts {
+		h.setRefuse(func(*message) bool { return true })
+	}
+	owner := newOwner(r.rec, "owner", w.placer.addr)
+	if err := owner.connect(); err != nil {
+		return err
+	}
+	var refs []string
+	for i := range uint64(100) {
+		if r.trouble && i == 20 {
+			for c := range 8 {
+				go floodFrom(r, w.placer.addr, c, 900, 60)
+			}
+		}
+		a := smallAsk("keyed", 1+i)
+		a.left = 1500 * time.Millisecond
+		refs = append(refs, owner.send(a))
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(5 * time.Second)
+	late, worst := 0, time.Duration(0)
+	for _, ref := range refs {
+		q := owner.get(ref)
+		took := time.Since(q.sentAt)
+		if q.answer != nil {
+			took = q.answeredAt.Sub(q.sentAt)
+		}
+		if worst = max(worst, took); took > q.left+answerLate+slack {
+			late++
+		}
+	}
+	r.rec.add("run", "%d of %d requests were answered too late or never, the worst after %v", late, len(refs), worst)
+	if late > 0 {
+		return fmt.Errorf("%w: %d of %d requests were answered too late or never, the worst after %v", errBroken, late, len(refs), worst)
+	}
+	return nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,6 +36,7 @@
 	"answer":  answerLost,
 	"again":   eventAgain,
 	"foreign": foreignRelease,
+	"queue":   longQueue,
 	"slow":    slowDiscovery,
 }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -26,6 +26,7 @@
 	life     time.Duration // how long tasks run; 0: until they are released
 	logDelay time.Duration // time in which the change log answers a request
 	memoryMB int
+	full     int // further hosts of the list, which have no room
 }
 
 func newWorld(r *run, cfg worldConfig) (*world, error) {
@@ -48,6 +49,11 @@
 		w.hosts = append(w.hosts, h)
 		list.Hosts = append(list.Hosts, inService(h, i))
 	}
+	for i := range cfg.full {
+		e := inService(w.hosts[0], cfg.hosts+i)
+		e.Host, e.Free = fmt.Sprintf("s-%08x", 0x1000+i), []float64{0, 0}
+		list.Hosts = append(list.Hosts, e)
+	}
 	if w.log, err = startChangeLog(r.rec, list); err != nil {
 		return err
 	}
