--- a/review/standin/further.go
+++ b/review/standin/further.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 )
 
@@ -201,3 +202,67 @@
 	}
 	return nil
 }
+
+// Shape of the scenario term.
+const (
+	termHosts    = 12
+	termHung     = 10
+	termTasks    = 2                      // tasks on each host
+	termApart    = 120 * time.Millisecond // time between two hosts that begin to hang
+	termEvery    = 5 * time.Millisecond   // time between two set-ups
+	termCrossing = 50 * time.Millisecond  // what crosses the end of its connection so shortly goes out again
+)
+
+// lastRequests sends SIGTERM while most hosts hang. The owner goes on sending on its open connection. The rule is broken
+// if the placer ends with set-ups unanswered that came more than 50 ms before.
+func lastRequests(r *run) error {
+	w, err := newWorld(r, worldConfig{hosts: termHosts, memoryMB: 128})
+	if err != nil {
+		return err
+	}
+	defer w.stop()
+	for _, h := range w.hosts {
+		h.setRefuse(func(*message) bool { return len(h.tasks) >= termTasks })
+	}
+	owner := newOwner(r.rec, "owner", w.placer.addr)
+	if err := owner.connect(); err != nil {
+		return err
+	}
+	for service := range uint64(termTasks * termHosts) {
+		if !owner.awaitAnswer(owner.send(smallAsk("keyed", 1+service)), 5*time.Second) {
+			return errors.New("a task was not placed")
+		}
+	}
+	for _, h := range w.hosts[:termHung] {
+		time.Sleep(termApart)
+		if r.trouble {
+			if err := h.hang(); err != nil {
+				return err
+			}
+		}
+	}
+	time.Sleep(3 * time.Second)
+	r.rec.add("platform", "SIGTERM")
+	if err := w.placer.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	time.Sleep(700 * time.Millisecond)
+	var refs []string
+	for owner.isConnected() {
+		refs = append(refs, owner.send(smallAsk("keyed", 1000+uint64(len(refs)))))
+		time.Sleep(termEvery)
+	}
+	endedAt := time.Now()
+	lost, first := 0, time.Duration(0)
+	for _, ref := range refs {
+		if q := owner.get(ref); q.answer == nil && endedAt.Sub(q.sentAt) > termCrossing {
+			lost++
+			first = max(first, endedAt.Sub(q.sentAt))
+		}
+	}
+	r.rec.add("run", "%d set-ups unanswered that came more than %v before the end, the first %v before", lost, termCrossing, first)
+	if lost > 0 {
+		return fmt.Errorf("%w: %d set-ups unanswered that came more than %v before the end, the first %v before", errBroken, lost, termCrossing, first)
+	}
+	return nil
+}
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,7 +32,8 @@
 	refuse func(m *message) bool // nil: nothing is refused
 	life   time.Duration         // how long tasks run; 0: until they are released
 	unsent []*message            // releases that wait for a connection
-	admit  sync.Mutex            // held while the host looks at a set-up
+	hung   bool
+	admit  sync.Mutex // held while the host looks at a set-up
 }
 
 // offer is a set-up that has come whole to a host.
@@ -85,6 +88,9 @@
 }
 
 func (h *host) handle(conn *lineConn, m *message) {
+	for h.isHung() {
+		time.Sleep(time.Second)
+	}
 	switch m.Type {
 	case "new":
 		h.mu.Lock()
@@ -229,3 +235,39 @@
 		_ = conn.Close()
 	}
 }
+
+// hang makes the host hang: it reads and writes nothing on its connections, and new ones neither come up nor are refused,
+// as its accept queue is full.
+func (h *host) hang() error {
+	h.mu.Lock()
+	h.hung = true
+	h.mu.Unlock()
+	socket, ok := h.ln.(*net.TCPListener)
+	if !ok {
+		return errors.New("the host listens on no TCP socket")
+	}
+	_ = socket.SetDeadline(time.Now()) // ends accept
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), 0) })
+	if err := errors.Join(err, listenErr); err != nil {
+		return err
+	}
+	h.rec.add(h.name, "hangs")
+	go func() {
+		for range 2 { // the queue has room for one connection
+			_, _ = net.DialTimeout("tcp", h.addr, 100*time.Millisecond)
+		}
+	}()
+	return nil
+}
+
+// isHung reports whether the host hangs.
+func (h *host) isHung() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hung
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 	"foreign": foreignRelease,
 	"queue":   longQueue,
 	"slow":    slowDiscovery,
+	"term":    lastRequests,
 }
 
 func main() {
