--- a/review/standin/case3.go
+++ b/review/standin/case3.go
@@ -14,11 +14,11 @@
 	floodClients  = 6     // bad clients
 	floodEach     = 900   // set-ups that each of them sends at once
 	floodText     = 15000 // bytes of the description of each of these; a message may hold 16 KiB
-	floodLooks    = 8     // looks of the platform at the placer's memory
+	floodLooks    = 5     // looks of the platform at the placer's memory
 )
 
 // memoryLimit is case 3. It lets bad clients send hundreds of set-ups at once, each within the size of a message, while
-// the hosts are full. The platform looks at the placer's memory twice a second, and kills it when it takes more than its
+// the hosts are full. The platform looks at the placer's memory once a second, and kills it when it takes more than its
 // configuration grants. The rule is broken if it does; the record has what becomes of a usual owner's requests.
 func memoryLimit(r *run) error {
 	w, err := newWorld(r, worldConfig{hosts: 4, memoryMB: floodMemoryMB})
@@ -40,7 +40,7 @@
 	}
 	for range floodLooks {
 		var refs []string
-		for service := range uint64(5) {
+		for service := range uint64(10) {
 			refs = append(refs, owner.send(smallAsk("keyed", 1+service)))
 			time.Sleep(100 * time.Millisecond)
 		}
