platform: a task's end reaches its owner on whatever connection it comes back on

Cause: notifyOwner chose the connection that most tasks were placed for; one with none did not count, and kept messages were looked at only when a task was placed (countPlaced -> deliverTo). finishTask then noted a guess as known to the owner, so that a later hand-over of the task was not answered. Ruled out by a step of the core on: the host's release is matched (the module gets the outcome, the host its ack), nothing is written on the dead connection; the message is kept and dropped after 8 s. The log could not show that; a message that no connection got has a line now.

Change: no choice. OwnerConnected carries the address of the connection. While the request's connection is open, its messages go there alone. Else they go to each connection from its address, and for 8 s to each that opens; if none is open for 0.5 s, once to one from another address that has sent requests. Bound: 1024 messages, beyond it the oldest is dropped and logged.

--- a/internal/scheduler/platform/api.go
+++ b/internal/scheduler/platform/api.go
@@ -47,8 +47,12 @@
 
 // Inputs of Core.Step.
 type (
-	// OwnerConnected reports that an owner has connected.
-	OwnerConnected struct{ Owner OwnerID }
+	// OwnerConnected reports that an owner has connected. Address is the one that the connection comes from, without the
+	// port. Connections of one owner come from one address, which other owners may share.
+	OwnerConnected struct {
+		Owner   OwnerID
+		Address string `json:",omitempty"` // traces of earlier versions have no such field
+	}
 	// OwnerData holds bytes received from an owner. The core does not retain Data. Age is how long the bytes may have
 	// waited to be read, as this process did not run.
 	OwnerData struct {
--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -35,7 +35,7 @@
 	finished          []*request               // requests to check for removal at the end of the step
 	abandoned         recent[attemptKey]       // attempts no longer awaited whose task may run
 	reportedEnds      recent[reportedEnd]      // ends of tasks, also under unknown refs
-	deliveredReleases recent[deliveredRelease] // releases of tasks that had ended before their hand-over
+	deliveredReleases recent[deliveredRelease] // releases that were sent on another connection than that of the request
 
 	owners      map[OwnerID]*ownerConnection
 	undelivered []undeliveredMessage // oldest first
@@ -114,7 +114,7 @@
 func (c *Core) handle(input Input) {
 	switch input := input.(type) {
 	case OwnerConnected:
-		c.ownerConnected(input.Owner)
+		c.ownerConnected(input)
 	case OwnerData:
 		c.receiveFromOwner(input)
 	case OwnerDisconnected:
--- a/internal/scheduler/platform/doc.go
+++ b/internal/scheduler/platform/doc.go
@@ -19,6 +19,6 @@
 //	unresponsive.go              hosts that send nothing, are removed or were never listed
 //	owner.go, ownermessages.go   connections of owners; messages from owners
 //	decode.go, handover.go       decoding of placement requests; hand-over of running tasks
-//	messages.go, undelivered.go  encoding of messages; messages that wait for a connection of an owner
+//	messages.go, undelivered.go  encoding of messages; messages about tasks whose owner's connection has ended
 //	linereader.go, recent.go     line splitting with timeouts; bounded set of recent values
 package platform
--- a/internal/scheduler/platform/handover.go
+++ b/internal/scheduler/platform/handover.go
@@ -18,7 +18,7 @@
 		c.rejectMalformed(owner, decoded.ref)
 		return
 	}
-	owner.sentValid = true
+	owner.sentValid, owner.sentRequest = true, true
 	if cause, ended := c.endBeforeHandOver(h, decoded.ref); ended {
 		c.releaseHandedOver(owner, decoded.ref, cause)
 		return
@@ -59,7 +59,7 @@
 	return platform.NoCause, false
 }
 
-// deliveredRelease identifies the release of a handed-over task that was sent on a connection of its owner.
+// deliveredRelease identifies the release of a task that was sent on another connection than that of its request.
 type deliveredRelease struct {
 	owner OwnerID
 	ref   requestRef
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -30,10 +30,14 @@
 	ownerLineTimeout = 2 * time.Second
 	// firstMessageTimeout bounds the time from accepting a connection to its first valid message.
 	firstMessageTimeout = 2 * time.Second
-	// maxUndelivered bounds the messages that wait for a connection of an owner. Further messages are dropped.
+	// maxUndelivered bounds the messages that are kept for further connections of an owner. Beyond it the oldest is
+	// dropped.
 	maxUndelivered int = 1024
 	// undeliveredTimeout is set by the protocol: the end of a task is sent to its owner within this time or not at all.
 	undeliveredTimeout = 8 * time.Second
+	// otherAddressAfter is the time after which a message for whose address no connection is open is sent on a connection
+	// from another address. It is below the 1 s in which the protocol wants the end of a task sent.
+	otherAddressAfter = 500 * time.Millisecond
 )
 
 // Limits of the connections to hosts.
--- a/internal/scheduler/platform/log.go
+++ b/internal/scheduler/platform/log.go
@@ -22,6 +22,7 @@
 	messageOversizedGossip   = "oversized gossip message dropped"
 	messageEndUnconfirmed    = "attempt ended without proof, it counts until its host confirms the end"
 	messageEndConfirmed      = "end of an attempt confirmed"
+	messageNotDelivered      = "message to an owner dropped, no connection of it was open"
 	messageModuleInterrupted = "module interrupted" // not logged at present, as New sets no limit of rounds
 )
 
@@ -50,6 +51,10 @@
 	reasonOfferedAgain        logReason = "it was offered to the same host again"
 	reasonConfirmationExpired logReason = "no confirmation came in time"
 	reasonTooMany             logReason = "too many ends are unconfirmed"
+
+	// Reasons why a message to an owner was dropped.
+	reasonExpired            logReason = "its time is over"
+	reasonTooManyUndelivered logReason = "too many messages are undelivered"
 )
 
 // Keys of log attributes.
--- a/internal/scheduler/platform/owner.go
+++ b/internal/scheduler/platform/owner.go
@@ -11,11 +11,13 @@
 
 type ownerConnection struct {
 	id                OwnerID
+	address           string // address that the connection comes from, without the port
 	reader            lineReader
 	acceptedAt        time.Duration
 	lastUsedAt        time.Duration // last time the owner sent a readable message
 	dataAge           time.Duration // how long the data that is being handled may have waited to be read
 	sentValid         bool          // the owner has sent a valid message
+	sentRequest       bool          // the owner has sent a valid request or hand-over
 	malformedRequests int           // number of malformed requests that the owner has sent
 	openRequests      map[*request]struct{}
 	runningTasks      int // number of running tasks whose requests or hand-overs came on this connection
@@ -55,13 +57,18 @@
 	return cmp.Or(cmp.Compare(o.rank(), other.rank()), cmp.Compare(o.lastUsedAt, other.lastUsedAt), cmp.Compare(o.id, other.id)) < 0
 }
 
-// ownerConnected accepts a connection of an owner, or closes it if no connection slot can be freed.
-func (c *Core) ownerConnected(id OwnerID) {
+// ownerConnected accepts a connection of an owner and sends what is undelivered on it, or closes it if no connection slot
+// can be freed.
+func (c *Core) ownerConnected(input OwnerConnected) {
 	if !c.acquireOwnerSlot() {
-		c.emit(CloseOwnerConnection{id})
+		c.emit(CloseOwnerConnection{input.Owner})
 		return
 	}
-	c.owners[id] = &ownerConnection{id: id, acceptedAt: c.now, lastUsedAt: c.now, openRequests: map[*request]struct{}{}}
+	owner := &ownerConnection{
+		id: input.Owner, address: input.Address, acceptedAt: c.now, lastUsedAt: c.now, openRequests: map[*request]struct{}{},
+	}
+	c.owners[owner.id] = owner
+	c.deliverOn(owner)
 }
 
 // acquireOwnerSlot makes sure that there is a slot for one more connection of an owner, and reports whether there is.
@@ -157,8 +164,7 @@
 	return false
 }
 
-// countPlaced counts a running task for the connection that its request came on, and sends the undelivered messages
-// there.
+// countPlaced counts a running task for the connection that its request came on.
 func (c *Core) countPlaced(r *request) {
 	owner := c.owners[r.owner]
 	if owner == nil {
@@ -166,7 +172,6 @@
 	}
 	owner.runningTasks++
 	owner.placedTotal++
-	c.deliverTo(owner)
 }
 
 // uncountPlaced removes a task from the running tasks of its connection.
@@ -179,6 +184,6 @@
 // movePlaced moves a placed task to another connection, on which its release will be sent.
 func (c *Core) movePlaced(r *request, owner *ownerConnection) {
 	c.uncountPlaced(r)
-	r.owner = owner.id
+	r.setOwner(owner)
 	c.countPlaced(r)
 }
--- a/internal/scheduler/platform/ownermessages.go
+++ b/internal/scheduler/platform/ownermessages.go
@@ -96,7 +96,7 @@
 }
 
 func (c *Core) handleNewRequest(owner *ownerConnection, decoded *decodedRequest, m *platform.Message) {
-	owner.sentValid = true
+	owner.sentValid, owner.sentRequest = true, true
 	decoded.task.Timeout -= owner.dataAge
 	if c.isBusy(owner) || decoded.task.Timeout < minRequestTimeout {
 		c.emit(SendToOwner{owner.id, releaseMessage(decoded.ref, platform.CauseBusy)})
@@ -112,13 +112,13 @@
 		// A hand-over of a task that this placer has placed or is placing is not answered. The release of a placed task
 		// moves to this connection. The digest is not compared: a hand-over differs from the request that placed the
 		// task, and rejecting it would release a running task.
-		owner.sentValid = true
+		owner.sentValid, owner.sentRequest = true, true
 		if r.phase == requestPlaced {
 			c.movePlaced(r, owner)
 		}
 	case r.digest == decoded.digest && (r.phase == requestOpen || r.phase == requestPlaced):
 		c.moveRequest(r, owner) // the owner resubmits the request, as its earlier connection was closed or is being closed
-		owner.sentValid = true
+		owner.sentValid, owner.sentRequest = true, true
 	case r.owner == owner.id:
 		c.closeOwner(owner)
 	default:
@@ -137,5 +137,5 @@
 		delete(before.openRequests, r)
 		owner.openRequests[r] = struct{}{}
 	}
-	r.owner = owner.id
+	r.setOwner(owner)
 }
--- a/internal/scheduler/platform/placed.go
+++ b/internal/scheduler/platform/placed.go
@@ -27,7 +27,7 @@
 // executeStop executes the module's Stop: it stops the task and notifies the owner, which then requests it again.
 func (c *Core) executeStop(id forkhead.TaskID) {
 	if r := c.requests[id]; r != nil && r.phase == requestPlaced {
-		c.notifyOwner(r, migrateMessage(r.ref))
+		r.isMigrationUndelivered = !c.notifyOwner(r, migrateMessage(r.ref))
 		c.beginStop(r)
 	}
 }
@@ -71,8 +71,11 @@
 	end.input, end.result, end.final = attempt.Ended, taskResult(r.phase, cause), true
 	c.uncountPlaced(r)
 	remembered := reportedEnd{a.key(), causeOwnerKnows}
-	if r.phase == requestPlaced && cause != platform.CauseMigrated && !c.notifyOwner(r, releaseMessage(r.ref, cause)) {
-		remembered.cause = cause // the release could not be delivered, so the owner does not know of the end
+	switch { // the owner may not know of the end if the message about it was not sent on the request's own connection
+	case r.isMigrationUndelivered:
+		remembered.cause = platform.CauseReset
+	case r.phase == requestPlaced && cause != platform.CauseMigrated && !c.notifyOwner(r, releaseMessage(r.ref, cause)):
+		remembered.cause = cause
 	}
 	c.reportedEnds.add(remembered)
 	r.phase = requestFinished
--- a/internal/scheduler/platform/reconcile.go
+++ b/internal/scheduler/platform/reconcile.go
@@ -8,7 +8,7 @@
 // reconcile does the periodic work: it closes idle connections, handles timeouts that are over and advances a shutdown.
 func (c *Core) reconcile() {
 	c.reconcileOwners()
-	c.expireUndelivered()
+	c.reconcileUndelivered()
 	c.closeHalfClosed()
 	for _, h := range c.hostsInOrder() {
 		c.reconcileHost(h)
--- a/internal/scheduler/platform/request.go
+++ b/internal/scheduler/platform/request.go
@@ -21,17 +21,19 @@
 
 // request is a placement request of an owner or a task that was handed over.
 type request struct {
-	id          forkhead.TaskID // number of the request at this placer
-	ref         requestRef
-	owner       OwnerID // connection on which the request last came; may be closed
-	task        forkhead.Task
-	class       *forkhead.Class
-	digest      uint64           // hash of the content, to recognize a resubmission
-	description []byte           // forwarded to hosts unchanged; nil once the request is answered
-	hostFields  []platform.Field // forwarded to hosts unchanged; nil once the request is answered
-	lifecycle   attempt.Request  // state machine of the answer and the attempts
-	attempts    []*taskAttempt   // by attempt number; nil: never started
-	phase       requestPhase
+	id                     forkhead.TaskID // number of the request at this placer
+	ref                    requestRef
+	owner                  OwnerID // connection on which the request last came; may be closed
+	ownerAddress           string  // address that the connection came from
+	task                   forkhead.Task
+	class                  *forkhead.Class
+	digest                 uint64           // hash of the content, to recognize a resubmission
+	description            []byte           // forwarded to hosts unchanged; nil once the request is answered
+	hostFields             []platform.Field // forwarded to hosts unchanged; nil once the request is answered
+	lifecycle              attempt.Request  // state machine of the answer and the attempts
+	attempts               []*taskAttempt   // by attempt number; nil: never started
+	phase                  requestPhase
+	isMigrationUndelivered bool // the module has ended the task, and the owner's connection was not open then
 }
 
 // newRequest adds an open request without attempts.
@@ -39,7 +41,8 @@
 	c.lastTask++
 	decoded.task.ID = c.lastTask
 	class := &c.settings.Classes[decoded.task.Class]
-	r := &request{id: c.lastTask, ref: decoded.ref, owner: owner.id, task: decoded.task, class: class, digest: decoded.digest}
+	r := &request{id: c.lastTask, ref: decoded.ref, task: decoded.task, class: class, digest: decoded.digest}
+	r.setOwner(owner)
 	r.lifecycle = attempt.Request{
 		Rules: attempt.Rules{
 			Effect: class.Effect, DedupDomain: class.DedupDomain, DedupWindow: class.DedupWindow,
@@ -51,6 +54,9 @@
 	return r
 }
 
+// setOwner sets the connection on which the request last came.
+func (r *request) setOwner(owner *ownerConnection) { r.owner, r.ownerAddress = owner.id, owner.address }
+
 // isBusy reports whether a further request of an owner must be rejected because of a limit or a shutdown.
 func (c *Core) isBusy(owner *ownerConnection) bool {
 	return c.unanswered >= maxOpenRequests || len(owner.openRequests) >= maxOpenRequestsPerOwner ||
--- a/internal/scheduler/platform/undelivered.go
+++ b/internal/scheduler/platform/undelivered.go
@@ -1,58 +1,118 @@
 package platform
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
-// undeliveredMessage is a message about a request for which no suitable connection of an owner was open yet.
+// The protocol binds no placed task to a connection, and a message to an owner names none. If the connection that a
+// task's request came on has ended, only the address that it came from tells whose task it was. Several owners may share
+// an address, so a message about such a task is sent on each open connection from that address, and until it expires on
+// each one that opens. Owners ignore messages about tasks that are none of theirs, as messages may always cross.
+
+// undeliveredMessage is a message about a placed task whose owner's connection has ended.
 type undeliveredMessage struct {
-	ref       requestRef
-	line      []byte
-	expiresAt time.Duration
+	ref         requestRef
+	address     string // address that the owner's connection came from
+	line        []byte
+	createdAt   time.Duration
+	isDelivered bool // it was sent on a connection
 }
 
-// notifyOwner sends a message about a request to its owner: on the connection that the request came on, or else on the
-// one that most tasks were placed for. If neither is open, the message is kept for the next connection that a task is
-// placed for, and the result sent is false.
+// notifyOwner sends a message about a request to its owner on the connection that the request came on, and reports
+// whether that connection is open. If it is not, the message is delivered on the connections that may be the owner's.
 func (c *Core) notifyOwner(r *request, line []byte) (sent bool) {
 	if c.owners[r.owner] != nil {
 		c.emit(SendToOwner{r.owner, line})
 		return true
 	}
-	if owner := c.busiestOwner(); owner != nil {
-		c.emit(SendToOwner{owner.id, line})
-		return true
+	c.addUndelivered(undeliveredMessage{ref: r.ref, address: r.ownerAddress, line: line, createdAt: c.now})
+	return false
+}
+
+// addUndelivered sends a message on all connections from its address, and keeps it for those that open later. Beyond
+// maxUndelivered the oldest message is dropped.
+func (c *Core) addUndelivered(m undeliveredMessage) {
+	for _, owner := range c.ownersFrom(m.address) {
+		c.deliver(&m, owner)
 	}
-	if len(c.undelivered) < maxUndelivered {
-		c.undelivered = append(c.undelivered, undeliveredMessage{r.ref, line, c.now + undeliveredTimeout})
+	if len(c.undelivered) >= maxUndelivered {
+		c.dropUndelivered(reasonTooManyUndelivered)
 	}
-	return false
+	c.undelivered = append(c.undelivered, m)
 }
 
-// busiestOwner returns the connection that most tasks were placed for, or nil if no task was placed for any.
-// Connections with a malformed request are left out.
-func (c *Core) busiestOwner() *ownerConnection {
-	var best *ownerConnection
+// ownersFrom returns the connections from an address in the order in which they were accepted.
+func (c *Core) ownersFrom(address string) []*ownerConnection {
+	var all []*ownerConnection
 	for _, owner := range c.owners {
-		if owner.placedTotal == 0 || owner.malformedRequests > 0 {
+		if owner.address == address {
+			all = append(all, owner)
+		}
+	}
+	slices.SortFunc(all, func(a, b *ownerConnection) int { return cmp.Compare(a.id, b.id) })
+	return all
+}
+
+// deliver sends an undelivered message on a connection.
+func (c *Core) deliver(m *undeliveredMessage, owner *ownerConnection) {
+	m.isDelivered = true
+	c.deliveredReleases.add(deliveredRelease{owner.id, m.ref})
+	c.emit(SendToOwner{owner.id, m.line})
+}
+
+// deliverOn sends the undelivered messages for the address of a new connection.
+func (c *Core) deliverOn(owner *ownerConnection) {
+	for i := range c.undelivered {
+		if m := &c.undelivered[i]; m.address == owner.address {
+			c.deliver(m, owner)
+		}
+	}
+}
+
+// reconcileUndelivered drops the messages that have expired. A message for whose address no connection was open within
+// otherAddressAfter is sent on the connection of another address, as its owner may have another one now. Once the listener
+// is closed no connection can open, so the message is sent at once.
+func (c *Core) reconcileUndelivered() {
+	for len(c.undelivered) > 0 && c.now > c.undelivered[0].createdAt+undeliveredTimeout {
+		c.dropUndelivered(reasonExpired)
+	}
+	for i := range c.undelivered {
+		m := &c.undelivered[i]
+		if c.now < m.createdAt+otherAddressAfter && !c.shutdown.listenerClosed {
+			return
+		}
+		if m.isDelivered {
 			continue
 		}
-		if best == nil || owner.placedTotal > best.placedTotal || owner.placedTotal == best.placedTotal && owner.id < best.id {
-			best = owner
+		owner := c.busiestOwner()
+		if owner == nil {
+			return
 		}
+		c.deliver(m, owner)
 	}
-	return best
 }
 
-// deliverTo sends all undelivered messages on a connection.
-func (c *Core) deliverTo(owner *ownerConnection) {
-	for _, m := range c.undelivered {
-		c.emit(SendToOwner{owner.id, m.line})
+// dropUndelivered drops the oldest undelivered message, and logs the reason if it was sent on no connection.
+func (c *Core) dropUndelivered(reason logReason) {
+	if m := &c.undelivered[0]; !m.isDelivered {
+		c.logInfo(messageNotDelivered, refAttr(m.ref), reasonAttr(reason))
 	}
-	c.undelivered = nil
+	c.undelivered = c.undelivered[1:]
 }
 
-// expireUndelivered drops the undelivered messages that have expired.
-func (c *Core) expireUndelivered() {
-	for len(c.undelivered) > 0 && c.undelivered[0].expiresAt < c.now {
-		c.undelivered = c.undelivered[1:]
+// busiestOwner returns the connection that most tasks were placed for, or else the one that was accepted first. Left out
+// are connections without a request and those with a malformed one. The result is nil if there is no other.
+func (c *Core) busiestOwner() *ownerConnection {
+	var best *ownerConnection
+	for _, owner := range c.owners {
+		if !owner.sentRequest || owner.malformedRequests > 0 {
+			continue
+		}
+		if best == nil || owner.placedTotal > best.placedTotal || owner.placedTotal == best.placedTotal && owner.id < best.id {
+			best = owner
+		}
 	}
+	return best
 }
--- a/internal/server/platform/owners.go
+++ b/internal/server/platform/owners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -65,7 +66,7 @@
 	accepted := o.inputs.loop.PostBlocking(func() {
 		if !stream.IsClosed() {
 			o.open[c.id] = c
-			o.inputs.add(platformcore.OwnerConnected{Owner: c.id})
+			o.inputs.add(platformcore.OwnerConnected{Owner: c.id, Address: hostOf(stream.RemoteAddress())})
 		}
 	})
 	if !accepted {
@@ -75,6 +76,12 @@
 	return c
 }
 
+// hostOf returns the host of an address host:port, or "" if the address has no port.
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
+}
+
 // closeListener closes the listener when the connections in its accept queue have been accepted.
 func (o *ownerConnections) closeListener() { o.listener.Drain(acceptIdle, acceptDrainTimeout) }
 
--- a/internal/verify/platformsim/host.go
+++ b/internal/verify/platformsim/host.go
@@ -190,7 +190,7 @@
 	if t.ended {
 		return
 	}
-	t.ended, t.cause = true, cause
+	t.ended, t.endedAt, t.cause = true, h.w.now, cause
 	if h.tasks[t.request.ref] == t {
 		delete(h.tasks, t.request.ref)
 	}
--- a/internal/verify/platformsim/injected_test.go
+++ b/internal/verify/platformsim/injected_test.go
@@ -55,6 +55,56 @@
 	}
 }
 
+// sentRef returns the ref of a message to an owner.
+func sentRef(sent platformcore.SendToOwner) string {
+	m, err := decodeLine(sent.Line)
+	if err != nil {
+		panic(err)
+	}
+	return m.Ref
+}
+
+// moveReleases returns a filter that replaces the releases of bound tasks. The function move gets the connection of a
+// release and the one on which its task was last reported as bound, and returns the connection to send it on, or 0 to
+// drop it.
+func moveReleases(move func(on, boundOn platformcore.OwnerID) platformcore.OwnerID) OutputFilter {
+	boundOn := map[string]platformcore.OwnerID{}
+	return func(o platformcore.Output) []platformcore.Output {
+		if messageToOwner(`"up"`)(o) {
+			sent := o.(platformcore.SendToOwner)
+			boundOn[sentRef(sent)] = sent.Owner
+		}
+		if !messageToOwner(`"down"`)(o) {
+			return []platformcore.Output{o}
+		}
+		sent := o.(platformcore.SendToOwner)
+		if bound := boundOn[sentRef(sent)]; bound != 0 {
+			sent.Owner = move(sent.Owner, bound)
+		}
+		if sent.Owner == 0 {
+			return nil
+		}
+		return []platformcore.Output{sent}
+	}
+}
+
+// dropReleasesElsewhere returns a filter that drops the releases of bound tasks on other connections than those on which
+// they were reported as bound, as if a release were lost with its request's connection.
+func dropReleasesElsewhere() OutputFilter {
+	return moveReleases(func(on, boundOn platformcore.OwnerID) platformcore.OwnerID {
+		if on != boundOn {
+			return 0
+		}
+		return on
+	})
+}
+
+// releaseToOthers returns a filter that sends the releases of bound tasks on the connection that opened next after the
+// right one.
+func releaseToOthers() OutputFilter {
+	return moveReleases(func(on, _ platformcore.OwnerID) platformcore.OwnerID { return on + 1 })
+}
+
 // Each injected fault is found in at least one of 30 runs.
 func TestRunFindsInjectedFaults(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -65,6 +115,8 @@
 		"releases dropped":                {func() OutputFilter { return repeat(messageToOwner(`"down"`), 0) }, "has none"},
 		"offer repeated":                  {func() OutputFilter { return repeat(messageToHost(`"new"`), 2) }, "two attempts"},
 		"releases of bound tasks dropped": {dropReleases, "still takes it as bound"},
+		"releases elsewhere dropped":      {dropReleasesElsewhere, "which connected again before"},
+		"releases sent to another owner":  {releaseToOthers, "on another connection than that of its request"},
 	} {
 		found := false
 		for seed := uint64(0); seed < 30 && !found; seed++ {
--- a/internal/verify/platformsim/interleavings.go
+++ b/internal/verify/platformsim/interleavings.go
@@ -85,13 +85,13 @@
 	w.placers = append(w.placers, p)
 	p.start()
 	owner := &ownerConn{placer: p, id: requestOwner, incarnation: p.incarnation, open: true}
-	p.owners[owner.id] = owner
+	p.owners[owner.owner], p.lastOwner = owner, requestOwner
 	r := &request{
 		ref: "00000000000000a1", placer: p, incarnation: p.incarnation, class: class, service: 1, cores: 1,
 		createdAt: w.now, timeout: requestTimeout, owner: owner,
 	}
 	w.requests[r.ref] = r
-	run := &interleavingRun{w: w, p: p, r: r}
+	run := &interleavingRun{w: w, p: p, r: r, owner: owner}
 	p.step(platformcore.OwnerConnected{Owner: requestOwner})
 	run.sendAsOwner(r.line(""))
 	for _, event := range interleaving {
@@ -105,6 +105,8 @@
 	w *world
 	p *placer
 	r *request
+
+	owner *ownerConn // connection on which the request came, and on which the owner's events happen
 }
 
 // runUntil advances the clock. Only the placer's timers run meanwhile, and the placer makes a step at the end.
--- a/internal/verify/platformsim/request.go
+++ b/internal/verify/platformsim/request.go
@@ -19,10 +19,11 @@
 	createdAt        time.Duration
 	timeout          time.Duration
 	owner            *ownerConn
-	cancelSent       bool                 // the owner has sent a cancel, which the placer may not have received
-	canceled         bool                 // the placer has read a cancel, was killed, or has lost the owner's connection
-	answer           platform.MessageType // type of the answer; empty if none was sent
-	finalMessage     platform.MessageType // type of the release, or finalLost; empty if there is none
+	cancelSent       bool                          // the owner has sent a cancel, which the placer may not have received
+	canceled         bool                          // the placer has read a cancel, was killed, or has lost the owner's connection
+	answer           platform.MessageType          // type of the answer; empty if none was sent
+	finalMessage     platform.MessageType          // type of the release that its owner got, or finalLost; empty if there is none
+	releasedOn       map[platformcore.OwnerID]bool // connections on which the placer's incarnation has sent the release
 	attempts         []*attempt
 	spreadCountsFrom time.Duration // time from which a task that was handed over counts for the placer's spread limit
 }
@@ -45,9 +46,10 @@
 	releasedAt  time.Duration // time at which the placer released the bound task; 0: not released
 
 	// State at the host.
-	bound bool
-	ended bool
-	cause platform.Cause // cause of the end
+	bound   bool
+	ended   bool
+	endedAt time.Duration  // time of the end of a bound task
+	cause   platform.Cause // cause of the end
 }
 
 // mayRun reports whether, as far as the placer knows, the task may be running by this attempt.
@@ -128,9 +130,11 @@
 // ownerConn is a connection from an owner to an incarnation of a placer.
 type ownerConn struct {
 	placer      *placer
+	owner       int // number of the owner
 	id          platformcore.OwnerID
 	incarnation int // incarnation of the placer
 	open        bool
+	openedAt    time.Duration // time at which the placer learned of the connection; 0: not yet
 	lastArrival time.Duration // arrival time of the last message that was sent
 }
 
