noderules: a release counts only at its own owner, once on each connection

Change: a release or shift counts for the owner that sent the request. Another owner may get it only if a connection of the request has ended, and no connection gets it twice. Stricter than before: a release at the wrong owner only, and one at another owner beside an open connection.

--- a/internal/verify/noderules/answers.go
+++ b/internal/verify/noderules/answers.go
@@ -22,15 +22,18 @@
 	key          string // idempotency key; "": none
 	placer       int
 	owner        int
-	conn         platformmodel.ConnID // connection on which it was submitted
-	sentAt       time.Duration        // when the submission was written; 0: not yet
-	handedOverAt time.Duration        // when its latest hand-over was written; 0: never
-	departedAt   time.Duration        // when the owner withdrew, released or left it; 0: not yet
-	answeredAt   time.Duration        // when the first answer came; 0: not yet
-	placed       bool                 // the first answer says that the task runs
-	releasedAt   time.Duration        // when the first release after that answer came; 0: not yet
-	endedAt      time.Duration        // when its running task ended at its host; 0: it runs, or never ran
-	mayHaveRun   bool                 // a host has received an offer and has not rejected it
+	conn         platformmodel.ConnID          // connection on which it was submitted
+	sentAt       time.Duration                 // when the submission was written; 0: not yet
+	usedConns    map[platformmodel.ConnID]bool // connections on which it was submitted or its task handed over
+	lostConn     bool                          // one of these connections has ended
+	releasedOn   map[platformmodel.ConnID]bool // connections on which a release of its task came
+	handedOverAt time.Duration                 // when its latest hand-over was written; 0: never
+	departedAt   time.Duration                 // when the owner withdrew, released or left it; 0: not yet
+	answeredAt   time.Duration                 // when the first answer came; 0: not yet
+	placed       bool                          // the first answer says that the task runs
+	releasedAt   time.Duration                 // when the first release after that answer came; 0: not yet
+	endedAt      time.Duration                 // when its running task ended at its host; 0: it runs, or never ran
+	mayHaveRun   bool                          // a host has received an offer and has not rejected it
 }
 
 func (r *request) service() uint64        { return r.report.Request.Service }
@@ -65,9 +68,10 @@
 	case e.message.Type == platform.TypeRelease:
 		r.depart(e.At)
 	case e.message.Type == platform.TypeRequest && isHandOver(extras):
-		r.handedOverAt = e.At
+		r.handedOverAt, r.usedConns[e.Conn] = e.At, true
 	case e.message.Type == platform.TypeRequest:
 		r.sentAt, r.conn, r.departedAt, r.owner = e.At, e.Conn, 0, e.Party.Number
+		r.usedConns[e.Conn] = true
 	}
 }
 
@@ -89,15 +93,33 @@
 			r.answeredAt, r.placed = e.At, true
 		}
 	case platform.TypeRelease, platform.TypeMigrate:
-		switch {
-		case r.answeredAt == 0:
-			r.answeredAt = e.At
-		case r.placed && r.releasedAt == 0:
-			r.releasedAt = e.At
-		case r.departedAt == 0:
-			c.breach(e, RuleAnswer, "the owner receives a message after the end of the request")
-		}
+		c.handleReleaseToOwner(r, e)
+	}
+}
+
+// handleReleaseToOwner checks a release or a migration that an owner receives.
+func (c *checker) handleReleaseToOwner(r *request, e *entry) {
+	isOwn := e.Party.Number == r.owner
+	isCopy := r.mayBeCopied(e.Conn)
+	switch {
+	case isOwn && r.answeredAt == 0:
+		r.answeredAt = e.At
+		return
+	case isOwn && r.placed && r.releasedAt == 0:
+		r.releasedAt = e.At
+	case !isOwn && !isCopy:
+		c.breach(e, RuleAnswer, "owner %d receives a message about a request of owner %d, whose connection is open", e.Party.Number, r.owner)
+	case r.departedAt == 0 && !isCopy:
+		c.breach(e, RuleAnswer, "the owner receives a message after the end of the request")
 	}
+	r.releasedOn[e.Conn] = true
+}
+
+// mayBeCopied reports whether a release of a request's task may come on a connection besides others. If a connection of the
+// request has ended, the placer cannot tell which connection is the owner's, as all owners connect from one address. The
+// release may then come once on each.
+func (r *request) mayBeCopied(on platformmodel.ConnID) bool {
+	return r.placed && r.lostConn && !r.releasedOn[on]
 }
 
 // ownerReads records the spans in which a fault keeps an owner from reading.
@@ -115,6 +137,7 @@
 func (c *checker) handleOwnerClosed(e *entry) {
 	for _, ref := range c.refs {
 		r := c.requests[ref]
+		r.lostConn = r.lostConn || r.usedConns[e.Conn]
 		if r.conn != e.Conn || r.sentAt == 0 || r.answeredAt > 0 || r.departedAt > 0 {
 			continue
 		}
--- a/internal/verify/noderules/checker.go
+++ b/internal/verify/noderules/checker.go
@@ -40,7 +40,10 @@
 		for j := range reports[i] {
 			report := &reports[i][j]
 			for _, ref := range report.Refs {
-				c.requests[ref] = &request{ref: ref, report: report, class: cfg.Classes[report.Request.Class], placer: report.Request.Placer}
+				c.requests[ref] = &request{
+					ref: ref, report: report, class: cfg.Classes[report.Request.Class], placer: report.Request.Placer,
+					usedConns: map[platformmodel.ConnID]bool{}, releasedOn: map[platformmodel.ConnID]bool{},
+				}
 				c.refs = append(c.refs, ref)
 			}
 		}
