platform: a release that a reset overtook goes out again on the owner's next connection

What callers would see: a task ends, the placer writes its release, and the owner's connection is reset before the owner has read it. The owner connects again and is told nothing; it takes the task for running.

Cause: a message that was written was taken for received. finishTask noted the end as known to the owner (causeOwnerKnows), nothing was kept, and OwnerDisconnected did not say how a connection had ended. Evidence: TestServerReleasesTaskAgainWhoseReleaseWasLostInReset failed on (no release in 20 s).

Change: OwnerDisconnected has Reset (reset, broken pipe, timed out by the kernel, closed as its owner did not read). Messages about ends that were written within the last second and that the owner has not acknowledged then take the way of undelivered ones, and a hand-over is answered with them. 256 a connection at most, the oldest counts as received. An orderly close sends nothing again. netio.PeerClosed tells a reset from a close; IsReset serves hosts and owners. Answers are emitted directly: an open request always has its connection.

--- a/internal/scheduler/platform/api.go
+++ b/internal/scheduler/platform/api.go
@@ -60,8 +60,12 @@
 		Data  []byte
 		Age   time.Duration
 	}
-	// OwnerDisconnected reports that an owner's connection has ended without a CloseOwnerConnection of the core.
-	OwnerDisconnected struct{ Owner OwnerID }
+	// OwnerDisconnected reports that an owner's connection has ended without a CloseOwnerConnection of the core. Reset
+	// means that it was reset or broke otherwise, so that the owner may not have received what was sent last.
+	OwnerDisconnected struct {
+		Owner OwnerID
+		Reset bool `json:",omitempty"` // traces of earlier versions have no such field
+	}
 	// HostConnected reports that a DialHost has succeeded.
 	HostConnected struct{ Connection ConnectionID }
 	// DialFailed reports that a DialHost has failed. Refused proves that nothing listens at the address. Local means
--- a/internal/scheduler/platform/attempt_test.go
+++ b/internal/scheduler/platform/attempt_test.go
@@ -105,7 +105,7 @@
 		forkhead.Withdrawn, true, 0,
 	},
 	"owner disconnects": {
-		stageInFlight, func(w *testCore, _ ConnectionID) { w.step(OwnerDisconnected{1}) },
+		stageInFlight, func(w *testCore, _ ConnectionID) { w.step(OwnerDisconnected{Owner: 1}) },
 		forkhead.Withdrawn, true, 0,
 	},
 
@@ -158,7 +158,7 @@
 // An offer that becomes invalid while it waits for its connection to open is not sent.
 func TestCoreDropsQueuedOfferThatBecameInvalid(t *testing.T) {
 	for name, invalidate := range map[string]func(w *testCore){
-		"owner disconnected": func(w *testCore) { w.step(OwnerDisconnected{1}) },
+		"owner disconnected": func(w *testCore) { w.step(OwnerDisconnected{Owner: 1}) },
 		"draining past the grace": func(w *testCore) {
 			w.step(hostChanged(1, platform.Terminating))
 			w.advance(300 * time.Millisecond)
@@ -190,7 +190,7 @@
 	withdrawn    inputOf = func(owner OwnerID, _ ConnectionID) Input {
 		return OwnerData{Owner: owner, Data: []byte(releaseLine(ref1, 16) + "\n")}
 	}
-	ownerEnds inputOf = func(owner OwnerID, _ ConnectionID) Input { return OwnerDisconnected{owner} }
+	ownerEnds inputOf = func(owner OwnerID, _ ConnectionID) Input { return OwnerDisconnected{Owner: owner} }
 )
 
 // decideOnFirstOutcome rejects a request after an attempt that never ran or timed out, and fails it after any other.
--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -118,7 +118,7 @@
 	case OwnerData:
 		c.receiveFromOwner(input)
 	case OwnerDisconnected:
-		c.ownerDisconnected(input.Owner)
+		c.ownerDisconnected(input)
 	case HostConnected:
 		c.hostConnected(input.Connection)
 	case DialFailed:
--- a/internal/scheduler/platform/core_test.go
+++ b/internal/scheduler/platform/core_test.go
@@ -70,7 +70,7 @@
 			w.step(fromHost(conn.id, boundLine(ref)))
 			w.step(fromHost(conn.id, releaseLine(ref, 16)))
 		}
-		w.step(OwnerDisconnected{o})
+		w.step(OwnerDisconnected{Owner: o})
 		w.now += 13 * time.Millisecond
 		w.step()
 		w.events = nil
--- a/internal/scheduler/platform/handover_test.go
+++ b/internal/scheduler/platform/handover_test.go
@@ -171,7 +171,7 @@
 func TestCoreSendsUndeliveredReleaseOnHandOver(t *testing.T) {
 	w := newTestCore(t, nil)
 	o, conn := w.placeTask()
-	w.step(OwnerDisconnected{o})
+	w.step(OwnerDisconnected{Owner: o})
 	w.wantLines(sentLines[SendToOwner](w.step(fromHost(conn, releaseLine(ref1, 16)))))
 	elsewhere := w.connectOwnerFrom(addressB)
 	w.wantLines(sentLines[SendToOwner](w.send(elsewhere, handOverLine(ref1, 1))), "down "+ref1+" 16")
@@ -179,7 +179,7 @@
 
 	w = newTestCore(t, nil)
 	o, conn = w.placeTask()
-	w.step(OwnerDisconnected{o})
+	w.step(OwnerDisconnected{Owner: o})
 	w.wantLines(sentLines[SendToOwner](w.step(fromHost(conn, releaseLine(ref1, 16)))))
 	next := w.connectOwner()
 	w.wantLines(sentLines[SendToOwner](w.outputs), "down "+ref1+" 16")
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -35,6 +35,12 @@
 	maxUndelivered int = 1024
 	// undeliveredTimeout is set by the protocol: the end of a task is sent to its owner within this time or not at all.
 	undeliveredTimeout = 8 * time.Second
+	// noticeResetWindow is the time after which a message counts as received by its owner although the connection is reset
+	// later.
+	noticeResetWindow = time.Second
+	// maxNotices bounds the messages of a connection that are kept for noticeResetWindow. Beyond it the oldest counts as
+	// received.
+	maxNotices int = 256
 	// otherAddressAfter is the time after which a message for whose address no connection is open is sent on a connection
 	// from another address. It is below the 1 s in which the protocol wants the end of a task sent.
 	otherAddressAfter = 500 * time.Millisecond
--- a/internal/scheduler/platform/owner.go
+++ b/internal/scheduler/platform/owner.go
@@ -20,8 +20,9 @@
 	sentRequest       bool          // the owner has sent a valid request or hand-over
 	malformedRequests int           // number of malformed requests that the owner has sent
 	openRequests      map[*request]struct{}
-	runningTasks      int // number of running tasks whose requests or hand-overs came on this connection
-	placedTotal       int // like runningTasks, but including tasks that have ended
+	runningTasks      int          // number of running tasks whose requests or hand-overs came on this connection
+	placedTotal       int          // like runningTasks, but including tasks that have ended
+	notices           []sentNotice // the latest messages about the ends of tasks, oldest first
 }
 
 // ownerRank ranks connections of owners by their use so far; the lowest rank is evicted first. Regular owners send one
@@ -115,14 +116,17 @@
 	c.emit(CloseOwnerConnection{owner.id})
 }
 
-// ownerDisconnected handles the end of a connection that its owner closed. It cancels the open requests of the
-// connection, as nobody waits for their answers.
-func (c *Core) ownerDisconnected(id OwnerID) {
-	owner := c.owners[id]
+// ownerDisconnected handles the end of a connection that its owner closed or that was reset. It cancels the open requests
+// of the connection, as nobody waits for their answers.
+func (c *Core) ownerDisconnected(input OwnerDisconnected) {
+	owner := c.owners[input.Owner]
 	if owner == nil {
 		return
 	}
-	delete(c.owners, id)
+	delete(c.owners, owner.id)
+	if input.Reset {
+		c.sendAgain(owner.notices)
+	}
 	for _, r := range owner.requestsInOrder() {
 		c.cancelRequest(r)
 	}
--- a/internal/scheduler/platform/ownermessages.go
+++ b/internal/scheduler/platform/ownermessages.go
@@ -34,7 +34,9 @@
 		c.handleRequest(owner, &m)
 	case platform.TypeRelease:
 		c.handleOwnerRelease(owner, requestRef(m.Ref))
-	case platform.TypeAck, platform.TypeProgress:
+	case platform.TypeAck:
+		owner.removeNotice(requestRef(m.Ref))
+	case platform.TypeProgress:
 	default:
 		c.closeOwner(owner)
 	}
--- a/internal/scheduler/platform/placed.go
+++ b/internal/scheduler/platform/placed.go
@@ -26,10 +26,14 @@
 
 // executeStop executes the module's Stop: it stops the task and notifies the owner, which then requests it again.
 func (c *Core) executeStop(id forkhead.TaskID) {
-	if r := c.requests[id]; r != nil && r.phase == requestPlaced {
-		r.isMigrationUndelivered = !c.notifyOwner(r, migrateMessage(r.ref))
-		c.beginStop(r)
+	r := c.requests[id]
+	if r == nil || r.phase != requestPlaced {
+		return
+	}
+	if a := r.placedAttempt(); a != nil {
+		r.isMigrationUndelivered = !c.notifyOwner(r, migrateMessage(r.ref), reportedEnd{a.key(), platform.CauseReset})
 	}
+	c.beginStop(r)
 }
 
 // beginStop starts stopping a placed task on its host. The host's answer or the deadline of the stop completes it, and
@@ -70,14 +74,15 @@
 	cause = endCause(cause)
 	end.input, end.result, end.final = attempt.Ended, taskResult(r.phase, cause), true
 	c.uncountPlaced(r)
-	remembered := reportedEnd{a.key(), causeOwnerKnows}
+	isOwed := r.phase == requestPlaced && cause != platform.CauseMigrated
 	switch { // the owner may not know of the end if the message about it was not sent on the request's own connection
 	case r.isMigrationUndelivered:
-		remembered.cause = platform.CauseReset
-	case r.phase == requestPlaced && cause != platform.CauseMigrated && !c.notifyOwner(r, releaseMessage(r.ref, cause)):
-		remembered.cause = cause
+		c.reportedEnds.add(reportedEnd{a.key(), platform.CauseReset})
+	case isOwed && !c.notifyOwner(r, releaseMessage(r.ref, cause), reportedEnd{a.key(), cause}):
+		c.reportedEnds.add(reportedEnd{a.key(), cause})
+	default:
+		c.reportedEnds.add(reportedEnd{a.key(), causeOwnerKnows})
 	}
-	c.reportedEnds.add(remembered)
 	r.phase = requestFinished
 	c.endAttempt(a, end)
 }
--- a/internal/scheduler/platform/placed_test.go
+++ b/internal/scheduler/platform/placed_test.go
@@ -48,7 +48,7 @@
 func TestCoreDeliversReleaseOnAnotherConnection(t *testing.T) {
 	w := newTestCore(t, nil)
 	o, conn := w.placeTask()
-	w.step(OwnerDisconnected{o})
+	w.step(OwnerDisconnected{Owner: o})
 	w.step(fromHost(conn, releaseLine(ref1, 16)))
 	w.wantLines(sentLines[SendToOwner](w.outputs))
 	next := w.connectOwner()
--- a/internal/scheduler/platform/request.go
+++ b/internal/scheduler/platform/request.go
@@ -133,7 +133,7 @@
 func (c *Core) answer(r *request, answer attempt.Answer, message []byte) {
 	r.lifecycle.Finish(answer == attempt.AnsweredRejected)
 	c.closeRequest(r, requestFinished)
-	c.notifyOwner(r, message)
+	c.emit(SendToOwner{r.owner, message})
 }
 
 // closeRequest moves an open request to its next phase.
--- a/internal/scheduler/platform/request_test.go
+++ b/internal/scheduler/platform/request_test.go
@@ -67,7 +67,7 @@
 			ofType[SendToOwner](out)[0].Owner, second, w.core.unanswered)
 	}
 	w.send(second, requestLine(ref1, "keyed", ""))
-	w.step(OwnerDisconnected{first})
+	w.step(OwnerDisconnected{Owner: first})
 	requests, canceled := takeEvents[forkhead.PlacementRequest](w), takeEvents[forkhead.RequestCanceled](w)
 	if len(requests) != 1 || len(canceled) != 0 {
 		t.Fatalf("resubmission on a second connection, end of the first: got %d PlacementRequest events, want 1; %d RequestCanceled, want 0",
--- a/internal/scheduler/platform/undelivered.go
+++ b/internal/scheduler/platform/undelivered.go
@@ -20,15 +20,54 @@
 	isDelivered bool // it was sent on a connection
 }
 
-// notifyOwner sends a message about a request to its owner on the connection that the request came on, and reports
-// whether that connection is open. If it is not, the message is delivered on the connections that may be the owner's.
-func (c *Core) notifyOwner(r *request, line []byte) (sent bool) {
-	if c.owners[r.owner] != nil {
-		c.emit(SendToOwner{r.owner, line})
-		return true
+// sentNotice is a message about the end of a placed task that was sent on the connection of its request.
+type sentNotice struct {
+	message undeliveredMessage
+	end     reportedEnd // the end that the message is about
+}
+
+// notifyOwner sends a message about the end of a placed task to its owner on the connection that its request came on, and
+// reports whether that connection is open. If it is not, the message is delivered on the connections that may be the
+// owner's.
+func (c *Core) notifyOwner(r *request, line []byte, end reportedEnd) (sent bool) {
+	m := undeliveredMessage{ref: r.ref, address: r.ownerAddress, line: line, createdAt: c.now}
+	owner := c.owners[r.owner]
+	if owner == nil {
+		c.addUndelivered(m)
+		return false
+	}
+	c.emit(SendToOwner{owner.id, line})
+	owner.addNotice(sentNotice{m, end})
+	return true
+}
+
+// addNotice keeps a message that was sent on the connection, and drops those that the owner has received for certain, or
+// the oldest beyond maxNotices.
+func (o *ownerConnection) addNotice(notice sentNotice) {
+	expired := 0
+	for expired < len(o.notices) && notice.message.createdAt > o.notices[expired].message.createdAt+noticeResetWindow {
+		expired++
+	}
+	expired = max(expired, len(o.notices)+1-maxNotices)
+	o.notices = append(slices.Delete(o.notices, 0, expired), notice)
+}
+
+// removeNotice drops the messages about a task whose receipt the owner has acknowledged.
+func (o *ownerConnection) removeNotice(ref requestRef) {
+	o.notices = slices.DeleteFunc(o.notices, func(n sentNotice) bool { return n.message.ref == ref })
+}
+
+// sendAgain delivers messages whose connection was reset on other connections of the owner, as the reset may have
+// overtaken them.
+func (c *Core) sendAgain(notices []sentNotice) {
+	for _, n := range notices {
+		if c.now > n.message.createdAt+noticeResetWindow {
+			continue
+		}
+		c.reportedEnds.add(n.end)
+		n.message.createdAt = c.now
+		c.addUndelivered(n.message)
 	}
-	c.addUndelivered(undeliveredMessage{ref: r.ref, address: r.ownerAddress, line: line, createdAt: c.now})
-	return false
 }
 
 // addUndelivered sends a message on all connections from its address, and keeps it for those that open later. Beyond
--- a/internal/scheduler/platform/undelivered_test.go
+++ b/internal/scheduler/platform/undelivered_test.go
@@ -59,7 +59,7 @@
 		t.Run(name+", open before the end", func(t *testing.T) {
 			w := newTestCore(t, nil)
 			before, conn := w.placeTask()
-			w.step(OwnerDisconnected{before})
+			w.step(OwnerDisconnected{Owner: before})
 			again := w.connectOwner()
 			use(w, again)
 			w.wantLines(linesTo(again, w.step(fromHost(conn, releaseLine(ref1, 16)))), "down "+ref1+" 16")
@@ -68,7 +68,7 @@
 	t.Run("opens after the end", func(t *testing.T) {
 		w := newTestCore(t, nil)
 		before, conn := w.placeTask()
-		w.step(OwnerDisconnected{before})
+		w.step(OwnerDisconnected{Owner: before})
 		w.wantLines(sentLines[SendToOwner](w.step(fromHost(conn, releaseLine(ref1, 16)))))
 		w.advance(undeliveredTimeout - time.Second)
 		again := w.connectOwner()
@@ -82,7 +82,7 @@
 func TestCoreSendsMigrationToOwnerThatConnectedAgain(t *testing.T) {
 	w := newTestCore(t, nil)
 	before, conn := w.placeTaskFrom(addressA, ref1)
-	w.step(OwnerDisconnected{before})
+	w.step(OwnerDisconnected{Owner: before})
 	again := w.connectOwnerFrom(addressA)
 	w.decide = func(forkhead.Event) []forkhead.Action { return []forkhead.Action{forkhead.Stop{Task: 1}} }
 	out := w.step(GossipReceived{1, nil})
@@ -102,7 +102,7 @@
 	neighbor, _ := w.placeTaskFrom(addressA, ref2)
 	stranger, _ := w.placeTaskFrom(addressB, ref3)
 	before, conn := w.placeTaskFrom(addressA, ref1)
-	w.step(OwnerDisconnected{before})
+	w.step(OwnerDisconnected{Owner: before})
 	first := w.connectOwnerFrom(addressA)
 	got := map[OwnerID]int{}
 	count := func() {
@@ -148,7 +148,7 @@
 	w.step(fromHost(w.core.hosts[1].leastBusyConnection().id, releaseLine(ref2, 34)))
 	w.send(asking, releaseLine(ref2, 16))
 	before, conn := w.placeTaskFrom(addressA, ref1)
-	w.step(OwnerDisconnected{before})
+	w.step(OwnerDisconnected{Owner: before})
 	w.wantLines(sentLines[SendToOwner](w.step(fromHost(conn, releaseLine(ref1, 16)))))
 	var toAsking []string
 	w.run(time.Second, connected, func() {
@@ -166,7 +166,7 @@
 	w := newTestCore(t, nil)
 	w.placeTaskFrom(addressA, ref2)
 	before, conn := w.placeTaskFrom(addressA, ref1)
-	w.step(OwnerDisconnected{before})
+	w.step(OwnerDisconnected{Owner: before})
 	w.step(fromHost(conn, releaseLine(ref1, 16)))
 	w.advance(undeliveredTimeout + time.Second)
 	again := w.connectOwnerFrom(addressA)
@@ -181,7 +181,7 @@
 	w := newTestCore(t, nil)
 	other, _ := w.placeTaskFrom(addressB, ref2)
 	before, conn := w.placeTaskFrom(addressA, ref1)
-	w.step(OwnerDisconnected{before})
+	w.step(OwnerDisconnected{Owner: before})
 	w.step(ShutdownRequested{})
 	w.now += minShutdownDuration - reconcileInterval
 	w.step()
@@ -202,7 +202,7 @@
 	for i := range maxUndelivered + extra {
 		w.send(owner, handOverLine(fmt.Sprintf("%016x", i+1), 1))
 	}
-	w.step(OwnerDisconnected{owner})
+	w.step(OwnerDisconnected{Owner: owner})
 	w.step(hostChanged(1, platform.Terminated))
 	var dropped []Log
 	for range (removedGrace + 100*time.Millisecond) / reconcileInterval { // no host accepts a connection
@@ -229,3 +229,67 @@
 func notDelivered(out []Output) []Log {
 	return slices.DeleteFunc(ofType[Log](out), func(l Log) bool { return l.Message != messageNotDelivered })
 }
+
+// Guards against a release that is lost with its connection: it was written, and a reset of the connection overtook it.
+// The owner gets it on its next connection, unless it has acknowledged it, the connection was closed in order or the reset
+// came long afterwards.
+func TestCoreReleasesTaskAgainAfterReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		acknowledged bool
+		after        time.Duration
+		reset        bool
+		want         []string
+	}{
+		"reset at once":      {reset: true, want: []string{"down " + ref1 + " 16"}},
+		"reset in time":      {reset: true, after: noticeResetWindow, want: []string{"down " + ref1 + " 16"}},
+		"reset later":        {reset: true, after: noticeResetWindow + time.Millisecond},
+		"reset after an ack": {reset: true, acknowledged: true},
+		"closed in order":    {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestCore(t, nil)
+			before, conn := w.placeTaskFrom(addressA, ref1)
+			w.wantLines(linesTo(before, w.step(fromHost(conn, releaseLine(ref1, 16)))), "down "+ref1+" 16")
+			if c.acknowledged {
+				w.send(before, fmt.Sprintf(`{"t":"ack","ref":"%s","f":{}}`, ref1))
+			}
+			w.now += c.after
+			w.step(OwnerDisconnected{Owner: before, Reset: c.reset})
+			again := w.connectOwnerFrom(addressA)
+			w.wantLines(linesTo(again, w.outputs), c.want...)
+			elsewhere := w.connectOwnerFrom(addressB)
+			w.wantLines(linesTo(elsewhere, w.send(elsewhere, handOverLine(ref1, 1))), c.want...)
+		})
+	}
+}
+
+// A migration that a reset overtook is sent again like a release.
+func TestCoreSendsMigrationAgainAfterReset(t *testing.T) {
+	w := newTestCore(t, nil)
+	before, _ := w.placeTaskFrom(addressA, ref1)
+	w.decide = func(forkhead.Event) []forkhead.Action { return []forkhead.Action{forkhead.Stop{Task: 1}} }
+	w.wantLines(linesTo(before, w.step(GossipReceived{1, nil})), "shift "+ref1)
+	w.decide = nil
+	w.step(OwnerDisconnected{Owner: before, Reset: true})
+	again := w.connectOwnerFrom(addressA)
+	w.wantLines(linesTo(again, w.outputs), "shift "+ref1)
+}
+
+// The messages that a connection keeps in case of a reset are bounded in number, and dropped when their time is over.
+func TestCoreBoundsNoticesOfConnection(t *testing.T) {
+	w := newTestCore(t, nil)
+	owner, conn := w.placeTaskFrom(addressA, ref1)
+	for i := range maxNotices + 10 {
+		ref := fmt.Sprintf("%016x", i+1)
+		w.send(owner, handOverLine(ref, 1))
+		w.step(fromHost(conn, releaseLine(ref, 16)))
+	}
+	if got := len(w.core.owners[owner].notices); got != maxNotices {
+		t.Errorf("after %d releases at once: got %d kept, want %d", maxNotices+10, got, maxNotices)
+	}
+	w.now += noticeResetWindow + time.Millisecond
+	w.step(fromHost(conn, releaseLine(ref1, 16)))
+	if got := len(w.core.owners[owner].notices); got != 1 {
+		t.Errorf("after the time of all but the last: got %d kept, want 1", got)
+	}
+}
--- a/internal/server/platform/hosts.go
+++ b/internal/server/platform/hosts.go
@@ -103,7 +103,7 @@
 // Closed handles the end of the connection.
 func (c *hostConnection) Closed(_ *netio.Conn, reason error) {
 	c.hosts.lingerer.remove(&c.connection)
-	wasReset := errors.Is(reason, syscall.ECONNRESET) || errors.Is(reason, syscall.EPIPE)
+	wasReset := netio.IsReset(reason)
 	c.hosts.inputs.loop.Post(func() { c.disconnected(wasReset) })
 }
 
--- a/internal/server/platform/owners.go
+++ b/internal/server/platform/owners.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	platformcore "forkhead/internal/scheduler/platform"
@@ -125,26 +127,35 @@
 			return
 		}
 		c.owners.inputs.add(platformcore.OwnerData{Owner: c.id, Data: data})
-		if len(data) < netio.ReadSize && stream.PeerClosed() {
-			c.disconnected()
+		if len(data) == netio.ReadSize {
+			return // more bytes may wait before the end
+		}
+		if closed, isBroken := stream.PeerClosed(); closed {
+			c.disconnected(isBroken)
 		}
 	})
 }
 
 // Closed handles the end of the connection.
-func (c *ownerConnection) Closed(*netio.Conn, error) {
+func (c *ownerConnection) Closed(_ *netio.Conn, reason error) {
 	c.owners.lingerer.remove(&c.connection)
 	c.slot.release()
-	c.owners.inputs.loop.Post(c.disconnected)
+	isBroken := isBroken(reason)
+	c.owners.inputs.loop.Post(func() { c.disconnected(isBroken) })
+}
+
+// isBroken reports whether a connection that ended for the given reason may have lost what was written on it last.
+func isBroken(reason error) bool {
+	return netio.IsReset(reason) || errors.Is(reason, netio.ErrWriteBufferFull) || errors.Is(reason, syscall.ETIMEDOUT)
 }
 
-// disconnected notifies the core that the owner has left, unless the core has closed the connection or was notified
-// already. It must be called on the event loop.
-func (c *ownerConnection) disconnected() {
+// disconnected notifies the core that the connection has ended, unless the core has closed it or was notified already. It
+// must be called on the event loop.
+func (c *ownerConnection) disconnected(isBroken bool) {
 	if c.closed {
 		return
 	}
 	c.closed = true
 	delete(c.owners.open, c.id)
-	c.owners.inputs.add(platformcore.OwnerDisconnected{Owner: c.id})
+	c.owners.inputs.add(platformcore.OwnerDisconnected{Owner: c.id, Reset: isBroken})
 }
--- a/internal/server/platform/reconnect_test.go
+++ b/internal/server/platform/reconnect_test.go
@@ -41,3 +41,21 @@
 		})
 	}
 }
+
+// Guards against a release that is lost with its connection: the placer writes it, and a reset of the connection comes
+// before the owner has read it.
+func TestServerReleasesTaskAgainWhoseReleaseWasLostInReset(t *testing.T) {
+	const ref = "00000000000000a1"
+	h := newRecordingHost(t)
+	s := startWithHost(t, h.asTestHost())
+	reader := newTestOwner(t, s.Address())
+	before := &testOwner{conn: dialLoopback(t, s.Address())} // reads nothing
+	before.request(ref, 2000)
+	eventually(t, "the host has the offer", func() bool { return h.lastOfferConn(ref) != nil })
+	h.lastOfferConn(ref).endTask(ref, platform.CauseOK)
+	eventually(t, "the host has the acknowledgment", func() bool { return h.received(platform.TypeAck, ref) > 0 })
+	reader.probe(t) // the step that acknowledged the end has sent the release
+	before.reset(t, s)
+	again := newTestOwner(t, s.Address())
+	wantOneRelease(t, again, ref, platform.CauseOK)
+}
