platform: an unsafe request sent again after a reset is not offered a second time

Cause: the end of the connection cancels the request, and removeFinished forgets it with its attempts (request.go); the resubmission is a new request without a history, for the invariants and the module.

Change: a canceled request whose task may have run, and whose class may not be repeated on any host, is remembered by its ref and content for 1 s. Bounds: 1024 requests, 1 MiB; the oldest are forgotten.

--- /dev/null
+++ b/internal/scheduler/platform/closedrequests.go
@@ -0,0 +1,99 @@
+package platform
+
+import (
+	"time"
+
+	"forkhead"
+	"forkhead/internal/protocol/platform"
+)
+
+// An owner whose set-up crosses the end of its connection sends it once more, under the same ref, on a new connection. By
+// then its request may be answered or canceled. What the answer was, or that the task may have run, is therefore
+// remembered for resubmissionWindow.
+
+// closedRequest is an answered or canceled request that its owner may send again.
+type closedRequest struct {
+	ref      requestRef
+	digest   uint64
+	owner    OwnerID // connection on which the answer was sent last, or on which the canceled request came
+	answer   []byte  // nil: canceled
+	size     int     // bytes of the answer with which it was added
+	closedAt time.Duration
+}
+
+// closedRequests is a bounded set of requests that were closed a short time ago. Beyond maxClosedBytes or
+// maxClosedRequests the oldest are forgotten.
+type closedRequests struct {
+	byRef map[requestRef]*closedRequest
+	order []*closedRequest // oldest first; may hold requests that byRef has replaced
+	bytes int              // sum of the sizes in order
+}
+
+func newClosedRequests() closedRequests {
+	return closedRequests{byRef: map[requestRef]*closedRequest{}}
+}
+
+func (s *closedRequests) add(request *closedRequest) {
+	s.byRef[request.ref] = request
+	s.order = append(s.order, request)
+	request.size = cap(request.answer)
+	s.bytes += request.size
+	for len(s.order) > maxClosedRequests || s.bytes > maxClosedBytes && len(s.order) > 1 {
+		s.removeOldest()
+	}
+}
+
+func (s *closedRequests) removeOldest() {
+	oldest := s.order[0]
+	s.order[0] = nil
+	s.order = s.order[1:]
+	s.bytes -= oldest.size
+	if s.byRef[oldest.ref] == oldest {
+		delete(s.byRef, oldest.ref)
+	}
+}
+
+// expire forgets the requests that were closed before a time.
+func (s *closedRequests) expire(before time.Duration) {
+	for len(s.order) > 0 && s.order[0].closedAt < before {
+		s.removeOldest()
+	}
+}
+
+// rememberCanceled remembers a request that was canceled, if another attempt of it might repeat an effect.
+func (c *Core) rememberCanceled(r *request) {
+	if r.lifecycle.MayHaveRun() && !mayRepeatAnywhere(r.class) {
+		c.closed.add(&closedRequest{ref: r.ref, digest: r.digest, owner: r.owner, closedAt: c.now})
+	}
+}
+
+// mayRepeatAnywhere reports whether tasks of a class that may have run may be attempted again on any host.
+func mayRepeatAnywhere(class *forkhead.Class) bool {
+	return class.Effect == forkhead.Safe || class.Effect == forkhead.Keyed && class.DedupDomain == forkhead.AnyDomain
+}
+
+// resubmitted returns the closed request that a request on a connection is a resubmission of, or nil.
+func (c *Core) resubmitted(owner *ownerConnection, decoded *decodedRequest) *closedRequest {
+	closed := c.closed.byRef[decoded.ref]
+	if closed == nil || closed.digest != decoded.digest || closed.owner == owner.id {
+		return nil
+	}
+	return closed
+}
+
+// handleResubmission answers a request that its owner sends again although it was closed. The answer goes out again on the
+// connection that asks. A canceled request whose task may have run fails, as it may not be attempted again and its owner
+// waits.
+func (c *Core) handleResubmission(owner *ownerConnection, closed *closedRequest) {
+	owner.sentValid, owner.sentRequest = true, true
+	if closed.answer == nil {
+		closed.answer = releaseMessage(closed.ref, platform.CauseFailed)
+	}
+	c.sendAnswerAgain(owner, closed)
+}
+
+// sendAnswerAgain sends the answer of a closed request on another connection than before.
+func (c *Core) sendAnswerAgain(owner *ownerConnection, closed *closedRequest) {
+	closed.owner = owner.id
+	c.emit(SendToOwner{owner.id, closed.answer})
+}
--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -39,6 +39,7 @@
 
 	owners      map[OwnerID]*ownerConnection
 	undelivered []undeliveredMessage // oldest first
+	closed      closedRequests
 
 	hosts          map[forkhead.MachineID]*host
 	sortedHosts    []*host // hosts ordered by id; nil: hostsInOrder must rebuild it
@@ -76,6 +77,7 @@
 		reportedEnds:      newRecent[reportedEnd](maxRemembered),
 		deliveredReleases: newRecent[deliveredRelease](maxRemembered),
 		owners:            map[OwnerID]*ownerConnection{},
+		closed:            newClosedRequests(),
 		hosts:             map[forkhead.MachineID]*host{},
 		connections:       map[ConnectionID]*hostConnection{},
 	}, nil
--- a/internal/scheduler/platform/doc.go
+++ b/internal/scheduler/platform/doc.go
@@ -20,5 +20,6 @@
 //	owner.go, ownermessages.go   connections of owners; messages from owners
 //	decode.go, handover.go       decoding of placement requests; hand-over of running tasks
 //	messages.go, undelivered.go  encoding of messages; messages about tasks whose owner's connection has ended
+//	closedrequests.go            requests that owners may send again after their end
 //	linereader.go, recent.go     line splitting with timeouts; bounded set of recent values
 package platform
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -9,6 +9,12 @@
 	// maxOpenRequestsPerOwner bounds the unanswered requests of one connection, so that one owner cannot use up
 	// maxOpenRequests.
 	maxOpenRequestsPerOwner int = 2048
+	// resubmissionWindow is the time for which closed requests are remembered, as their owners may send them again. The
+	// protocol has an owner send a request again whose connection ended within 50 ms; the rest is for a new connection.
+	resubmissionWindow = time.Second
+	// maxClosedRequests and maxClosedBytes bound the closed requests that are remembered and the bytes of their answers.
+	maxClosedRequests int = 1024
+	maxClosedBytes    int = 1 << 20
 	// maxRequestTimeout is the longest time that a request may allow for its answer. A request with a longer one is
 	// malformed.
 	maxRequestTimeout = 60 * 24 * time.Hour
--- a/internal/scheduler/platform/ownermessages.go
+++ b/internal/scheduler/platform/ownermessages.go
@@ -83,6 +83,10 @@
 	ref := requestRef(m.Ref)
 	known := c.requestsByRef[ref]
 	decoded, ok := c.decodeRequest(m)
+	var closed *closedRequest
+	if ok && known == nil {
+		closed = c.resubmitted(owner, decoded)
+	}
 	switch {
 	case !ok && known != nil && known.owner == owner.id:
 		c.closeOwner(owner) // the owner would take a rejection under this ref as the answer to the known request
@@ -92,6 +96,8 @@
 		c.handleKnownRef(owner, known, decoded)
 	case decoded.isHandOver():
 		c.handleHandOver(owner, decoded)
+	case closed != nil:
+		c.handleResubmission(owner, closed)
 	default:
 		c.handleNewRequest(owner, decoded, m)
 	}
--- a/internal/scheduler/platform/reconcile.go
+++ b/internal/scheduler/platform/reconcile.go
@@ -9,6 +9,7 @@
 func (c *Core) reconcile() {
 	c.reconcileOwners()
 	c.reconcileUndelivered()
+	c.closed.expire(c.now - resubmissionWindow)
 	c.closeHalfClosed()
 	for _, h := range c.hostsInOrder() {
 		c.reconcileHost(h)
--- a/internal/scheduler/platform/request.go
+++ b/internal/scheduler/platform/request.go
@@ -155,6 +155,7 @@
 	c.closeRequest(r, requestFinished)
 	r.lifecycle.Finish(false) // the lifecycle has no answer for a canceled request, so the request counts as AnsweredFailed
 	c.withdrawAll(r, forkhead.Withdrawn, true)
+	c.rememberCanceled(r)
 }
 
 // handleDeadline withdraws all attempts of an open request at the timeout of one of them or at the request's deadline.
