platform: a request that is sent again gets the answer that a reset has cut off

Cause: moveRequest of a placed request sends nothing on the new connection, and an answered request that has ended is forgotten, so that a failed unsafe one could be attempted again.

Change: answers other than rejections are remembered beside canceled requests. A resubmission on another connection gets the same answer there, once; if its task has ended meanwhile, the release, unless that connection had it.

Tests: TestCoreAnswersRequestSentAgainAfterItsAnswer and ...AfterItsEnd failed on.

--- a/internal/scheduler/platform/closedrequests.go
+++ b/internal/scheduler/platform/closedrequests.go
@@ -18,6 +18,7 @@
 	owner    OwnerID // connection on which the answer was sent last, or on which the canceled request came
 	answer   []byte  // nil: canceled
 	size     int     // bytes of the answer with which it was added
+	hasEnded bool    // the task was placed and has ended; answer is its release
 	closedAt time.Duration
 }
 
@@ -60,6 +61,12 @@
 	}
 }
 
+// rememberAnswered remembers a request that was answered as placed or failed on its connection. A rejected one never ran
+// and may be sent again as a new request.
+func (c *Core) rememberAnswered(r *request, answer []byte) {
+	c.closed.add(&closedRequest{ref: r.ref, digest: r.digest, owner: r.owner, answer: answer, closedAt: c.now})
+}
+
 // rememberCanceled remembers a request that was canceled, if another attempt of it might repeat an effect.
 func (c *Core) rememberCanceled(r *request) {
 	if r.lifecycle.MayHaveRun() && !mayRepeatAnywhere(r.class) {
@@ -72,6 +79,13 @@
 	return class.Effect == forkhead.Safe || class.Effect == forkhead.Keyed && class.DedupDomain == forkhead.AnyDomain
 }
 
+// rememberEnd replaces the remembered answer of a placed task that has ended by its release.
+func (c *Core) rememberEnd(ref requestRef, release []byte) {
+	if closed := c.closed.byRef[ref]; closed != nil && closed.answer != nil {
+		closed.hasEnded, closed.answer = true, release
+	}
+}
+
 // resubmitted returns the closed request that a request on a connection is a resubmission of, or nil.
 func (c *Core) resubmitted(owner *ownerConnection, decoded *decodedRequest) *closedRequest {
 	closed := c.closed.byRef[decoded.ref]
@@ -89,6 +103,9 @@
 	if closed.answer == nil {
 		closed.answer = releaseMessage(closed.ref, platform.CauseFailed)
 	}
+	if closed.hasEnded && c.deliveredReleases.contains(deliveredRelease{owner.id, closed.ref}) {
+		return
+	}
 	c.sendAnswerAgain(owner, closed)
 }
 
--- a/internal/scheduler/platform/closedrequests_test.go
+++ b/internal/scheduler/platform/closedrequests_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -60,6 +61,62 @@
 	}
 }
 
+// Guards against a request without an answer: its answer was sent on a connection that was reset, and its owner sends the
+// request again. It gets the same answer on the new connection, once, whether the placer knows of the reset or not. The
+// release of the task follows on that connection.
+func TestCoreAnswersRequestSentAgainAfterItsAnswer(t *testing.T) {
+	for _, isKnown := range []bool{true, false} {
+		t.Run(fmt.Sprintf("the end of the connection is known %v", isKnown), func(t *testing.T) {
+			w := newTestCore(t, nil)
+			before, conn := w.placeTask()
+			if isKnown {
+				w.step(OwnerDisconnected{Owner: before, Reset: true})
+			}
+			again := w.connectOwner()
+			out := w.send(again, requestLine(ref1, "keyed", ""))
+			w.wantLines(sentLines[SendToHost](out))
+			w.wantLines(linesTo(again, out), "up "+ref1)
+			if got := string(fieldsOf(ofType[SendToOwner](out)[0].Line)["d"]); got != `"from the host"` {
+				t.Errorf("description of the answer that is sent again: got %s, want that of the host", got)
+			}
+			w.wantLines(linesTo(again, w.send(again, requestLine(ref1, "keyed", ""))))
+			w.step(OwnerDisconnected{Owner: before})
+			w.wantLines(sentLines[SendToOwner](w.step(fromHost(conn, releaseLine(ref1, 16)))), "down "+ref1+" 16")
+		})
+	}
+}
+
+// A request that failed gets its failure again. One whose task was placed and has ended gets the release, but only once
+// on a connection, and no further attempt.
+func TestCoreAnswersRequestSentAgainAfterItsEnd(t *testing.T) {
+	w := newTestCore(t, nil)
+	before, conn := w.placeTask()
+	w.step(OwnerDisconnected{Owner: before, Reset: true})
+	w.step(fromHost(conn, releaseLine(ref1, 16)))
+	again := w.connectOwner()
+	w.wantLines(linesTo(again, w.outputs), "down "+ref1+" 16")
+	w.wantLines(linesTo(again, w.send(again, requestLine(ref1, "keyed", ""))))
+	other := w.connectOwnerFrom(addressB)
+	out := w.send(other, requestLine(ref1, "keyed", ""))
+	w.wantLines(linesTo(other, out), "down "+ref1+" 16")
+	w.wantLines(sentLines[SendToHost](out))
+
+	w = newTestCore(t, nil)
+	before = w.connectOwner()
+	w.send(before, requestLine(ref1, "unsafe", ""))
+	w.connectDialed()
+	w.decide = func(ev forkhead.Event) []forkhead.Action {
+		if _, ok := ev.(forkhead.Outcome); ok {
+			return []forkhead.Action{forkhead.Fail{Task: 1}}
+		}
+		return nil
+	}
+	w.step(fromHost(w.core.hosts[1].leastBusyConnection().id, releaseLine(ref1, 47)))
+	w.step(OwnerDisconnected{Owner: before, Reset: true})
+	again = w.connectOwner()
+	w.wantLines(linesTo(again, w.send(again, requestLine(ref1, "unsafe", ""))), "down "+ref1+" 47")
+}
+
 // Another request under the ref of a closed one is a request of its own, and so is the same one after its time.
 func TestCoreForgetsClosedRequests(t *testing.T) {
 	w := newTestCore(t, nil)
--- a/internal/scheduler/platform/hostmessages.go
+++ b/internal/scheduler/platform/hostmessages.go
@@ -107,7 +107,9 @@
 	}
 	r.lifecycle.Handle(a.number, attempt.Accepted)
 	c.closeRequest(r, requestPlaced)
-	c.emit(SendToOwner{r.owner, boundMessage(r.ref, description)})
+	answer := boundMessage(r.ref, description)
+	c.emit(SendToOwner{r.owner, answer})
+	c.rememberAnswered(r, answer)
 	c.countPlaced(r)
 	c.notifyModule(forkhead.Bound{Task: r.id, Attempt: a.number, Machine: a.host.id, Took: c.now - a.sentAt})
 }
--- a/internal/scheduler/platform/ownermessages.go
+++ b/internal/scheduler/platform/ownermessages.go
@@ -126,6 +126,9 @@
 		}
 	case r.digest == decoded.digest && (r.phase == requestOpen || r.phase == requestPlaced):
 		c.moveRequest(r, owner) // the owner resubmits the request, as its earlier connection was closed or is being closed
+		if closed := c.resubmitted(owner, decoded); closed != nil {
+			c.sendAnswerAgain(owner, closed)
+		}
 		owner.sentValid, owner.sentRequest = true, true
 	case r.owner == owner.id:
 		c.closeOwner(owner)
--- a/internal/scheduler/platform/placed.go
+++ b/internal/scheduler/platform/placed.go
@@ -74,6 +74,7 @@
 	cause = endCause(cause)
 	end.input, end.result, end.final = attempt.Ended, taskResult(r.phase, cause), true
 	c.uncountPlaced(r)
+	c.rememberEnd(r.ref, releaseMessage(r.ref, cause))
 	isOwed := r.phase == requestPlaced && cause != platform.CauseMigrated
 	switch { // the owner may not know of the end if the message about it was not sent on the request's own connection
 	case r.isMigrationUndelivered:
--- a/internal/scheduler/platform/request.go
+++ b/internal/scheduler/platform/request.go
@@ -134,6 +134,9 @@
 	r.lifecycle.Finish(answer == attempt.AnsweredRejected)
 	c.closeRequest(r, requestFinished)
 	c.emit(SendToOwner{r.owner, message})
+	if answer != attempt.AnsweredRejected {
+		c.rememberAnswered(r, message)
+	}
 }
 
 // closeRequest moves an open request to its next phase.
