platform: what open requests hold is bounded by memory_mb, with a share for each owner

Cause: open requests were bounded by number only (maxOpenRequests 8192, each with up to 16 KiB), and 128 reads of 32 KiB could wait in the loop's queue and again in a step's inputs.

Change: open requests hold at most memory_mb/16, counted in bytes; beyond it only owners under an equal share get one more, so at most twice that. netio.ReadSize is 8 KiB.

Tests: TestCoreBoundsBytesOfOpenRequests, TestCoreMovesBytesOfResubmittedRequest, TestCoreConfigBoundsOpenRequestBytes; the fields they read are new, so they do not build before.

--- a/internal/scheduler/platform/api.go
+++ b/internal/scheduler/platform/api.go
@@ -29,6 +29,9 @@
 	MaxOwnerConnections int
 	MaxHostConnections  int
 	MaxConnections      int
+	// MaxOpenRequestBytes bounds the memory that unanswered requests hold; 0: only their number is bounded. Requests of
+	// owners that hold less than an equal share of it are accepted beyond it, so at most twice as much is in use.
+	MaxOpenRequestBytes int
 	// ProtectedOwnerConnections is the number of connections of owners that are never closed in favor of connections to
 	// hosts; 0: MaxOwnerConnections.
 	ProtectedOwnerConnections int
--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -27,6 +27,7 @@
 	lastTask          forkhead.TaskID
 	requests          map[forkhead.TaskID]*request
 	requestsByRef     map[requestRef]*request
+	openBytes         int                                     // sum of the sizes of the open requests
 	unanswered        int                                     // number of open requests
 	attemptsByService invariant.ServiceAttempts[*taskAttempt] // live attempts
 	unconfirmedEnds   int                                     // number of attempts with an unconfirmed end
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -6,6 +6,8 @@
 const (
 	// maxOpenRequests bounds the unanswered requests of all owners. Further requests are rejected as busy.
 	maxOpenRequests int = 8192
+	// requestOverhead is what an open request holds besides its description and fields, in bytes.
+	requestOverhead int = 1 << 10
 	// maxOpenRequestsPerOwner bounds the unanswered requests of one connection, so that one owner cannot use up
 	// maxOpenRequests.
 	maxOpenRequestsPerOwner int = 2048
--- a/internal/scheduler/platform/owner.go
+++ b/internal/scheduler/platform/owner.go
@@ -20,6 +20,7 @@
 	sentRequest       bool          // the owner has sent a valid request or hand-over
 	malformedRequests int           // number of malformed requests that the owner has sent
 	openRequests      map[*request]struct{}
+	openBytes         int          // sum of the sizes of openRequests
 	runningTasks      int          // number of running tasks whose requests or hand-overs came on this connection
 	placedTotal       int          // like runningTasks, but including tasks that have ended
 	notices           []sentNotice // the latest messages about the ends of tasks, oldest first
@@ -132,6 +133,20 @@
 	}
 }
 
+// addOpen adds an open request to the connection.
+func (o *ownerConnection) addOpen(r *request) {
+	o.openRequests[r] = struct{}{}
+	o.openBytes += r.size
+}
+
+// removeOpen removes a request from the open ones of the connection, if it is among them.
+func (o *ownerConnection) removeOpen(r *request) {
+	if _, ok := o.openRequests[r]; ok {
+		delete(o.openRequests, r)
+		o.openBytes -= r.size
+	}
+}
+
 // requestsInOrder returns the open requests of a connection in the order of their arrival.
 func (o *ownerConnection) requestsInOrder() []*request {
 	return slices.SortedFunc(maps.Keys(o.openRequests), func(a, b *request) int { return cmp.Compare(a.id, b.id) })
--- a/internal/scheduler/platform/ownermessages.go
+++ b/internal/scheduler/platform/ownermessages.go
@@ -106,11 +106,12 @@
 func (c *Core) handleNewRequest(owner *ownerConnection, decoded *decodedRequest, m *platform.Message) {
 	owner.sentValid, owner.sentRequest = true, true
 	decoded.task.Timeout -= owner.dataAge
-	if c.isBusy(owner) || decoded.task.Timeout < minRequestTimeout {
+	fields := forwardedFields(m, c.settings.Classes[decoded.task.Class].Effect)
+	if c.isBusy(owner, requestSize(m.Description, fields)) || decoded.task.Timeout < minRequestTimeout {
 		c.emit(SendToOwner{owner.id, releaseMessage(decoded.ref, platform.CauseBusy)})
 		return
 	}
-	c.openRequest(owner, decoded, m)
+	c.openRequest(owner, decoded, m.Description, fields)
 }
 
 // handleKnownRef handles a request or hand-over whose ref belongs to a known request.
@@ -145,8 +146,8 @@
 		return
 	}
 	if before := c.owners[r.owner]; before != nil { // always true: when a connection ends, its open requests end too
-		delete(before.openRequests, r)
-		owner.openRequests[r] = struct{}{}
+		before.removeOpen(r)
+		owner.addOpen(r)
 	}
 	r.setOwner(owner)
 }
--- a/internal/scheduler/platform/request.go
+++ b/internal/scheduler/platform/request.go
@@ -27,6 +27,7 @@
 	ownerAddress           string  // address that the connection came from
 	task                   forkhead.Task
 	class                  *forkhead.Class
+	size                   int              // bytes that the request holds while it is open
 	digest                 uint64           // hash of the content, to recognize a resubmission
 	description            []byte           // forwarded to hosts unchanged; nil once the request is answered
 	hostFields             []platform.Field // forwarded to hosts unchanged; nil once the request is answered
@@ -57,19 +58,46 @@
 // setOwner sets the connection on which the request last came.
 func (r *request) setOwner(owner *ownerConnection) { r.owner, r.ownerAddress = owner.id, owner.address }
 
-// isBusy reports whether a further request of an owner must be rejected because of a limit or a shutdown.
-func (c *Core) isBusy(owner *ownerConnection) bool {
+// isBusy reports whether a further request of an owner must be rejected because of a limit or a shutdown. The request
+// would hold size bytes.
+func (c *Core) isBusy(owner *ownerConnection, size int) bool {
 	return c.unanswered >= maxOpenRequests || len(owner.openRequests) >= maxOpenRequestsPerOwner ||
-		c.shutdown.rejectsRequests(c.now)
+		c.exceedsMemory(owner, size) || c.shutdown.rejectsRequests(c.now)
 }
 
-// openRequest adds a request and passes it to the module.
-func (c *Core) openRequest(owner *ownerConnection, decoded *decodedRequest, m *platform.Message) {
+// exceedsMemory reports whether a further request would exceed MaxOpenRequestBytes and its owner's share of it. The shares
+// of all owners with open requests are equal, so that an owner that sends many or large requests does not keep others
+// from theirs.
+func (c *Core) exceedsMemory(owner *ownerConnection, size int) bool {
+	limit := c.config.MaxOpenRequestBytes
+	if limit == 0 || c.openBytes+size <= limit {
+		return false
+	}
+	sharing := 1
+	for _, other := range c.owners {
+		if other != owner && len(other.openRequests) > 0 {
+			sharing++
+		}
+	}
+	return owner.openBytes+size > limit/sharing
+}
+
+// requestSize returns the number of bytes that a request holds while it is open.
+func requestSize(description []byte, fields []platform.Field) int {
+	size := requestOverhead + cap(description)
+	for _, field := range fields {
+		size += cap(field.Raw)
+	}
+	return size
+}
+
+// openRequest adds a request and passes it to the module. The fields are forwarded to hosts.
+func (c *Core) openRequest(owner *ownerConnection, decoded *decodedRequest, description []byte, fields []platform.Field) {
 	r := c.newRequest(owner, decoded)
-	r.description = m.Description
-	r.hostFields = forwardedFields(m, r.class.Effect)
+	r.description, r.hostFields, r.size = description, fields, requestSize(description, fields)
 	c.unanswered++
-	owner.openRequests[r] = struct{}{}
+	c.openBytes += r.size
+	owner.addOpen(r)
 	c.addDeadline(r.lifecycle.Deadline, r.id)
 	c.notifyModule(forkhead.PlacementRequest{Task: r.task})
 }
@@ -143,8 +171,9 @@
 func (c *Core) closeRequest(r *request, next requestPhase) {
 	r.phase = next
 	c.unanswered--
+	c.openBytes -= r.size
 	if owner := c.owners[r.owner]; owner != nil {
-		delete(owner.openRequests, r)
+		owner.removeOpen(r)
 	}
 	r.description, r.hostFields = nil, nil
 	if next == requestFinished {
--- a/internal/scheduler/platform/request_test.go
+++ b/internal/scheduler/platform/request_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -183,3 +184,53 @@
 	w.wantLines(sentLines[SendToOwner](out), "down "+ref2+" 42")
 	w.wantLines(sentLines[SendToHost](out))
 }
+
+// Guards against a placer that is killed for its memory: clients send hundreds of large requests at once, and no host takes
+// them. What open requests hold is bounded, and an owner with small requests is not kept out by owners that flood. Answered
+// requests hold nothing.
+func TestCoreBoundsBytesOfOpenRequests(t *testing.T) {
+	const limit = 1 << 20
+	w := newTestCore(t, func(cfg *Config) { cfg.MaxOpenRequestBytes = limit })
+	w.decide = nil // requests wait
+	large := strings.Replace(requestLine("%s", "keyed", ""), `a\ud800`, strings.Repeat("x", 15000), 1)
+	number, rejected := 0, 0
+	flood := func(owner OwnerID) {
+		for range 200 {
+			number++
+			rejected += len(sentLines[SendToOwner](w.send(owner, fmt.Sprintf(large, requestNumber(number)))))
+		}
+	}
+	first, second, usual := w.connectOwner(), w.connectOwner(), w.connectOwner()
+	flood(first)
+	if w.core.openBytes > limit || rejected == 0 {
+		t.Errorf("one flooding owner: got %d bytes held and %d of 200 requests rejected, want at most %d bytes and some rejected", w.core.openBytes, rejected, limit)
+	}
+	for range 100 {
+		number++
+		if got := sentLines[SendToOwner](w.send(usual, requestLine(requestNumber(number), "keyed", ""))); len(got) != 0 {
+			t.Fatalf("small request beside a flood: got %q, want it accepted", got)
+		}
+	}
+	flood(second)
+	if w.core.openBytes > 2*limit || w.core.owners[second].openBytes == 0 {
+		t.Errorf("two flooding owners: got %d bytes held, %d of them for the second, want at most %d and some", w.core.openBytes, w.core.owners[second].openBytes, 2*limit)
+	}
+	for _, owner := range []OwnerID{first, second, usual} {
+		w.step(OwnerDisconnected{Owner: owner})
+	}
+	if w.core.openBytes != 0 || w.core.unanswered != 0 {
+		t.Errorf("after all owners have left: got %d bytes held for %d requests, want 0", w.core.openBytes, w.core.unanswered)
+	}
+}
+
+// A request that moves to another connection counts for the owner that it moves to.
+func TestCoreMovesBytesOfResubmittedRequest(t *testing.T) {
+	w := newTestCore(t, nil)
+	first, second := w.connectOwner(), w.connectOwner()
+	w.send(first, requestLine(ref1, "keyed", ""))
+	held := w.core.openBytes
+	w.send(second, requestLine(ref1, "keyed", ""))
+	if before, after := w.core.owners[first].openBytes, w.core.owners[second].openBytes; before != 0 || after != held || held == 0 {
+		t.Errorf("bytes held after the resubmission: got %d for the first connection, %d for the second, want 0 and %d above 0", before, after, held)
+	}
+}
--- a/internal/server/netio/netio.go
+++ b/internal/server/netio/netio.go
@@ -21,7 +21,7 @@
 
 // ReadSize is the maximum number of bytes in one call of Handler.Data. A call with fewer bytes means that no further
 // bytes are waiting to be read.
-const ReadSize = 32 << 10
+const ReadSize = 8 << 10
 
 // ErrWriteBufferFull means that a connection was closed because its peer does not read fast enough.
 var ErrWriteBufferFull = errors.New("write buffer is full: the peer does not read fast enough")
--- a/internal/server/platform/config.go
+++ b/internal/server/platform/config.go
@@ -23,6 +23,10 @@
 	acceptReserve       = 8 // descriptors for accepted connections that the core does not know yet
 )
 
+// openRequestShare is the share of the memory limit that open requests may hold. The core may use twice as much of it, and
+// the garbage of decoding a flood of requests takes several times as much again.
+const openRequestShare = 1.0 / 16
+
 // ConfigError is the error of a configuration that cannot be used.
 type ConfigError struct{ Err error }
 
@@ -96,6 +100,7 @@
 	config := platformcore.NewConfig(info, settings)
 	config.Seed = cfg.SeedNumber()
 	config.InitialEvents = cfg.Initial.Events
+	config.MaxOpenRequestBytes = int(cfg.Limits.MemoryMB * openRequestShare * (1 << 20))
 	config.MaxOwnerConnections = connections * 2 / 3
 	config.ProtectedOwnerConnections = protected
 	config.MaxHostConnections = connections - acceptReserve - protected
--- a/internal/server/platform/config_test.go
+++ b/internal/server/platform/config_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// newCoreConfig bounds what open requests hold by the memory limit; without one their bytes are not bounded.
+func TestCoreConfigBoundsOpenRequestBytes(t *testing.T) {
+	for memoryMB, want := range map[float64]int{0: 0, 16: 1 << 20, 64: 4 << 20, 192: 12 << 20} {
+		cfg := &platform.Config{Settings: json.RawMessage(testSettings)}
+		cfg.Limits.MemoryMB = memoryMB
+		info, settings, err := readSettings(cfg)
+		if err != nil {
+			t.Fatalf("readSettings: got error %v, want nil", err)
+		}
+		if got := newCoreConfig(cfg, info, settings).MaxOpenRequestBytes; got != want {
+			t.Errorf("newCoreConfig with a limit of %v MB: got %d bytes for open requests, want %d", memoryMB, got, want)
+		}
+	}
+}
+
 // newCoreConfig divides the descriptors so that owners and hosts get connections even if the limit is low.
 func TestCoreConfigDividesDescriptors(t *testing.T) {
 	for _, c := range []struct{ descriptors, owners, protected, hosts, both int }{
