platform: a watch whose response comes up to 2.2 s late is heard

Cause: streamIdleTimeout, 1.5 s, also bounded the wait for the first bytes of a response (watch.go, read). Each response was given up before it came.

Change: responseTimeout, 2.2 s, until the first bytes; 1.5 s between bytes as before. 1.5 + 2.2 s stay under the 4 s after which a stop counts as told. TestWatcherPollsUnresponsiveAddressOncePerIdleTimeout is renamed for it and holds the same.

--- a/internal/server/platform/watch.go
+++ b/internal/server/platform/watch.go
@@ -19,15 +19,19 @@
 
 const (
 	streamIdleTimeout = 1500 * time.Millisecond // the platform sends a comment each second
-	minPollBackoff    = 50 * time.Millisecond   // wait between polls without an event; doubled for each further one
-	maxPollBackoff    = 400 * time.Millisecond
-	streamBufferSize  = 16 << 10 // bytes
+	// responseTimeout bounds the wait for the first bytes of a response, which a slow watch sends late. A stream that falls
+	// silent is polled again after streamIdleTimeout; an answer within responseTimeout after that comes in the 4 s after
+	// which the platform counts its events as delivered.
+	responseTimeout  = 2200 * time.Millisecond
+	minPollBackoff   = 50 * time.Millisecond // wait between polls without an event; doubled for each further one
+	maxPollBackoff   = 400 * time.Millisecond
+	streamBufferSize = 16 << 10 // bytes
 )
 
 // Reasons for which the watcher cancels a stream.
 var (
 	errAddressChanged = errors.New("the watch address has changed")
-	errStreamIdle     = errors.New("the watch stream is idle: neither event nor comment within the idle timeout")
+	errStreamIdle     = errors.New("the watch stream is idle: neither event nor comment in time")
 	errNoEvents       = errors.New("the watch stream has delivered no event within the event timeout")
 )
 
@@ -126,7 +130,7 @@
 
 // read opens a stream and handles its events until the stream ends. It calls cancel when a timeout expires.
 func (w *watcher) read(ctx context.Context, cancel context.CancelCauseFunc, address string) error {
-	idle := newIdleTimer(streamIdleTimeout, func() { cancel(errStreamIdle) })
+	idle := newIdleTimer(responseTimeout, func() { cancel(errStreamIdle) })
 	defer idle.stop()
 	noEvents := newIdleTimer(w.intervals.nextTimeout(), func() { cancel(errNoEvents) })
 	defer noEvents.stop()
--- a/internal/server/platform/watch_test.go
+++ b/internal/server/platform/watch_test.go
@@ -182,8 +182,34 @@
 	}
 }
 
-// An address that accepts connections and never answers is polled again, but no more than once per idle timeout.
-func TestWatcherPollsUnresponsiveAddressOncePerIdleTimeout(t *testing.T) {
+// Guards against a watch that answers late and is never heard: each poll was given up before its response came. One poll
+// is enough for a response whose first bytes come after the idle timeout of a stream.
+func TestWatcherWaitsForLateResponse(t *testing.T) {
+	for _, delay := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 1800 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			var polls atomic.Int64
+			address := scriptedWatch(t, func(s watchStream) {
+				polls.Add(1)
+				select {
+				case <-time.After(delay):
+				case <-s.done:
+					return
+				}
+				s.send("%s", emptyEvent(2, false))
+				s.sendComments()
+			})
+			_, deliveries := startTestWatcher(t, address, 1)
+			expectDeliveries(t, deliveries, delivery{2, false})
+			if n := polls.Load(); n != 1 {
+				t.Errorf("polls until the event was delivered: got %d, want 1", n)
+			}
+		})
+	}
+}
+
+// An address that accepts connections and never answers is polled again, but no more than once per response timeout.
+func TestWatcherPollsUnresponsiveAddressOncePerResponseTimeout(t *testing.T) {
 	listener := listenLoopback(t)
 	var polls atomic.Int64
 	go func() {
