--- a/internal/protocol/platform/sequence_test.go
+++ b/internal/protocol/platform/sequence_test.go
@@ -23,6 +23,61 @@
 	}
 }
 
+// Guards against a list that is set back: a watch breaks off and sends its first events again, as it may write events
+// twice, and then only comments. They are the same as those that were applied under their numbers, so the sequence was
+// not restarted. A different event under such a number shows that it was, also when it comes after a comment.
+func TestSequenceSkipsRepeatedEventsOfIdleStream(t *testing.T) {
+	ev := func(seq uint64, snapshot bool, host string) WatchEvent {
+		return WatchEvent{Seq: seq, Endpoints: &EndpointList{Snapshot: snapshot, Hosts: []Endpoint{{Name: host}}}}
+	}
+	newSequence := func() *Sequence {
+		s := &Sequence{}
+		s.Applied(ev(1, true, "a"))
+		s.StreamOpened()
+		for seq := uint64(2); seq <= 4; seq++ {
+			if got := s.Next(ev(seq, false, "a")); got != ApplyEvent {
+				t.Fatalf("Next(event %d) = %d, want %d (ApplyEvent)", seq, got, ApplyEvent)
+			}
+		}
+		s.StreamOpened()
+		return s
+	}
+	for name, again := range map[string][]WatchEvent{
+		"the first":        {ev(1, true, "a")},
+		"the first two":    {ev(1, true, "a"), ev(2, false, "a")},
+		"all but the last": {ev(1, true, "a"), ev(2, false, "a"), ev(3, false, "a")},
+	} {
+		s := newSequence()
+		for _, event := range again {
+			s.Next(event)
+		}
+		if got := s.StreamIdle(); len(got) != 0 || s.Last != 4 {
+			t.Errorf("%s again, then a comment: got %d events of a restart and last number %d, want none and 4", name, len(got), s.Last)
+		}
+		if got := s.Next(ev(5, false, "b")); got != ApplyEvent {
+			t.Errorf("%s again, then a new event: Next = %d, want %d (ApplyEvent)", name, got, ApplyEvent)
+		}
+	}
+	s := newSequence()
+	s.Next(ev(1, true, "a"))
+	s.StreamIdle()
+	s.Next(ev(2, false, "b"))
+	if got := s.StreamIdle(); len(got) != 2 || s.Last != 2 {
+		t.Errorf("a different second event after a comment: got %d events of a restart and last number %d, want 2 and 2", len(got), s.Last)
+	}
+}
+
+// The digests of applied events are bounded.
+func TestSequenceBoundsDigests(t *testing.T) {
+	s := Sequence{}
+	for seq := uint64(1); seq <= 3*maxEventDigests; seq++ {
+		s.Next(WatchEvent{Seq: seq})
+	}
+	if len(s.applied.byNumber) != maxEventDigests || len(s.applied.order) != maxEventDigests {
+		t.Errorf("after %d events: got %d digests and %d numbers, want %d", 3*maxEventDigests, len(s.applied.byNumber), len(s.applied.order), maxEventDigests)
+	}
+}
+
 // Events that a watch sends again are skipped, the events of a restarted sequence are applied once the stream is idle,
 // and a snapshot with an old number in the middle of a stream is skipped.
 func TestSequenceRestarts(t *testing.T) {
--- a/internal/server/platform/server.go
+++ b/internal/server/platform/server.go
@@ -109,7 +109,7 @@
 	s.loop.Start()
 	s.gossip.start()
 	s.watch = startWatch(ctx, watchConfig{
-		address: cfg.WatchAddress, last: lastSequence(cfg), connectTimeout: settings.ConnectTimeout, log: s.log,
+		address: cfg.WatchAddress, last: lastSequence(cfg), initial: cfg.Initial.Events, connectTimeout: settings.ConnectTimeout, log: s.log,
 		deliver: func(event platform.WatchEvent, restarted bool) {
 			s.inputs.postBlocking(platformcore.WatchEventReceived{Event: event, SequenceRestarted: restarted})
 		},
--- a/internal/server/platform/watch.go
+++ b/internal/server/platform/watch.go
@@ -38,8 +38,9 @@
 // watchConfig is the configuration of a watcher.
 type watchConfig struct {
 	address        string
-	last           uint64        // sequence number of the last known event; the watch starts after it
-	connectTimeout time.Duration // limit of the time to connect
+	last           uint64                // sequence number of the last known event; the watch starts after it
+	initial        []platform.WatchEvent // the events up to there, oldest first; some or all may be missing
+	connectTimeout time.Duration         // limit of the time to connect
 	log            zerolog.Logger
 	// deliver is called once for each event, in order, on the watcher's goroutine. restarted means that the sequence
 	// numbers start again with this event, which is a snapshot.
@@ -68,6 +69,9 @@
 		log: config.log, deliver: config.deliver, dialer: net.Dialer{Timeout: config.connectTimeout}, done: make(chan struct{}),
 		address: config.address, sequence: platform.Sequence{Last: config.last},
 	}
+	for _, event := range config.initial {
+		w.sequence.Applied(event)
+	}
 	go w.run(ctx)
 	return w
 }
--- a/internal/server/platform/watch_test.go
+++ b/internal/server/platform/watch_test.go
@@ -137,6 +137,21 @@
 	expectDeliveries(t, deliveries, delivery{8, false}, delivery{1, true}, delivery{2, false}, delivery{3, false}, delivery{4, false})
 }
 
+// Guards against a list that is set back: the stream breaks off, and the next one begins with the first event once more
+// and a comment. The event is not delivered again, and the next one is.
+func TestWatcherIgnoresRepeatedFirstEvent(t *testing.T) {
+	address := scriptedWatch(t,
+		func(s watchStream) { s.send("%s%s", emptyEvent(1, true), emptyEvent(2, false)) },
+		func(s watchStream) { s.send("%s%s", emptyEvent(2, false), emptyEvent(3, false)) },
+		func(s watchStream) {
+			s.send("%s:\n\n:\n\n", emptyEvent(1, true))
+			s.send("%s", emptyEvent(4, false))
+			s.sendComments()
+		})
+	_, deliveries := startTestWatcher(t, address, 0)
+	expectDeliveries(t, deliveries, delivery{1, false}, delivery{2, false}, delivery{3, false}, delivery{4, false})
+}
+
 // After a change of the address, the new address is polled from the last delivered event on, and no event from the old
 // address is delivered, whether the old stream breaks off in the middle of an event or continues.
 func TestWatcherChangeOfAddress(t *testing.T) {
