netio: stopping an engine interrupts its dials

Cause: Server.Close stops the event loop and then the engine, whose Stop waited for dials up to the connect timeout; owners' connections were open meanwhile and nobody read them.

Change: dials run under a context that ends when Stop begins; an interrupted one reports net.ErrClosed, as later ones do.

Tests: TestServerCloseInterruptsDials (connect timeout ten minutes) did not end in 40 s on, passed three runs under -race.

--- a/internal/server/netio/engine.go
+++ b/internal/server/netio/engine.go
@@ -1,6 +1,7 @@
 package netio
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -33,6 +34,9 @@
 	delivered  []atomic.Bool
 	socketPair func() (net.Conn, net.Conn, error) // opens a socket pair; replaced in tests
 
+	dialContext context.Context // ends when Stop begins, which interrupts dials
+	cancelDials context.CancelFunc
+
 	running sync.WaitGroup // goroutines of listeners and dials; none is added after stopping is set
 	closers sync.WaitGroup // goroutines of closeLater; none is added after stopped is set
 
@@ -45,6 +49,7 @@
 // New starts an engine with the given number of pollers, which have one goroutine each.
 func New(name string, pollers int) (*Engine, error) {
 	e := &Engine{listeners: map[*Listener]struct{}{}, socketPair: socketPair, delivered: make([]atomic.Bool, pollers)}
+	e.dialContext, e.cancelDials = context.WithCancel(context.Background())
 	e.poller = nbio.NewEngine(nbio.Config{Name: name, NPoller: pollers, ReadBufferSize: ReadSize})
 	e.poller.OnData(e.onData)
 	e.poller.OnClose(e.onClose)
@@ -112,7 +117,7 @@
 	return true
 }
 
-// Stop closes all listeners and connections and waits for the engine's goroutines, including those of dials. If the
+// Stop closes all listeners and connections, interrupts dials and waits for the engine's goroutines. If the
 // pollers cannot be stopped safely (see awaitPollers), they keep running and their connections stay open.
 func (e *Engine) Stop() {
 	e.mu.Lock()
@@ -121,6 +126,7 @@
 		_ = ln.Close()
 	}
 	e.mu.Unlock()
+	e.cancelDials()
 	e.running.Wait()
 	if e.awaitPollers() == nil {
 		e.poller.Stop()
@@ -145,7 +151,11 @@
 
 // dial connects to an address and adds the connection to its poller.
 func (e *Engine) dial(address string, timeout time.Duration, maxPending int, handler Handler) (*Conn, error) {
-	socket, err := net.DialTimeout("tcp", address, timeout)
+	dialer := net.Dialer{Timeout: timeout}
+	socket, err := dialer.DialContext(e.dialContext, "tcp", address)
+	if err != nil && e.dialContext.Err() != nil {
+		return nil, net.ErrClosed
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/server/platform/shutdownearly_test.go
+++ b/internal/server/platform/shutdownearly_test.go
@@ -1,8 +1,10 @@
 package platform
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -186,6 +188,32 @@
 	}
 }
 
+// Guards against requests that a placer takes in its last moment and never answers: between the end of the event loop and
+// that of the process, its connections are still open, so that nothing may wait there. A host that does not answer its
+// dial must not hold up Close.
+func TestServerCloseInterruptsDials(t *testing.T) {
+	h := &recordingHost{listener: listenLoopback(t)}
+	fillAcceptQueue(t, h.listener)
+	cfg := newTestConfig(t, newTestWatch(endpointEvent(1, true, endpointOf(1, h.asTestHost(), platform.InService))))
+	cfg.Settings = json.RawMessage(strings.Replace(testSettings, `"connectTimeout":250`, `"connectTimeout":600000`, 1))
+	s := startConfig(t, cfg)
+	newTestOwner(t, s.Address()).request("00000000000000a1", 2500)
+	eventually(t, "the host is being dialed", func() bool { return dialingHostCount(s) > 0 })
+	closed := make(chan struct{})
+	go func() {
+		s.Close()
+		close(closed)
+	}()
+	eventually(t, "the server is closed", func() bool {
+		select {
+		case <-closed:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // dialingHostCount returns how many connections to hosts are being dialed.
 func dialingHostCount(s *Server) (count int) {
 	s.loop.Call(func() {
