--- a/internal/scheduler/platform/closedrequests.go
+++ b/internal/scheduler/platform/closedrequests.go
@@ -99,7 +99,7 @@
 // connection that asks. A canceled request whose task may have run fails, as it may not be attempted again and its owner
 // waits.
 func (c *Core) handleResubmission(owner *ownerConnection, closed *closedRequest) {
-	owner.sentValid, owner.sentRequest = true, true
+	owner.recordRequest()
 	if closed.answer == nil {
 		closed.answer = releaseMessage(closed.ref, platform.CauseFailed)
 	}
--- a/internal/scheduler/platform/handover.go
+++ b/internal/scheduler/platform/handover.go
@@ -18,7 +18,7 @@
 		c.rejectMalformed(owner, decoded.ref)
 		return
 	}
-	owner.sentValid, owner.sentRequest = true, true
+	owner.recordRequest()
 	if cause, ended := c.endBeforeHandOver(h, decoded.ref); ended {
 		c.releaseHandedOver(owner, decoded.ref, cause)
 		return
--- a/internal/scheduler/platform/owner.go
+++ b/internal/scheduler/platform/owner.go
@@ -49,6 +49,9 @@
 	return ownerWithRunningTasks
 }
 
+// recordRequest records that the owner has sent a valid request or hand-over.
+func (o *ownerConnection) recordRequest() { o.sentValid, o.sentRequest = true, true }
+
 func (o *ownerConnection) mayBeEvicted() bool {
 	return len(o.openRequests) == 0 && o.rank() < ownerWithRunningTasks
 }
--- a/internal/scheduler/platform/ownermessages.go
+++ b/internal/scheduler/platform/ownermessages.go
@@ -104,7 +104,7 @@
 }
 
 func (c *Core) handleNewRequest(owner *ownerConnection, decoded *decodedRequest, m *platform.Message) {
-	owner.sentValid, owner.sentRequest = true, true
+	owner.recordRequest()
 	decoded.task.Timeout -= owner.dataAge
 	fields := forwardedFields(m, c.settings.Classes[decoded.task.Class].Effect)
 	if c.isBusy(owner, requestSize(m.Description, fields)) || decoded.task.Timeout < minRequestTimeout {
@@ -121,7 +121,7 @@
 		// A hand-over of a task that this placer has placed or is placing is not answered. The release of a placed task
 		// moves to this connection. The digest is not compared: a hand-over differs from the request that placed the
 		// task, and rejecting it would release a running task.
-		owner.sentValid, owner.sentRequest = true, true
+		owner.recordRequest()
 		if r.phase == requestPlaced {
 			c.movePlaced(r, owner)
 		}
@@ -130,7 +130,7 @@
 		if closed := c.resubmitted(owner, decoded); closed != nil {
 			c.sendAnswerAgain(owner, closed)
 		}
-		owner.sentValid, owner.sentRequest = true, true
+		owner.recordRequest()
 	case r.owner == owner.id:
 		c.closeOwner(owner)
 	default:
--- a/internal/server/eventloop/eventloop.go
+++ b/internal/server/eventloop/eventloop.go
@@ -9,13 +9,16 @@
 	"forkhead/internal/server/clock"
 )
 
-// Handling of a stalled process. A loop that is late for a timer by more than stalledAfter did not get the processor,
+// StalledAfter is how late a loop must be for a timer for the process to count as stalled: it was stopped, or got no
+// processor.
+const StalledAfter = 50 * time.Millisecond
+
+// Handling of a stalled process. A loop that is late for a timer by more than StalledAfter did not get the processor,
 // and neither did the goroutines that post jobs to it. Before it steps the core, the loop pauses for up to
 // maxCatchUpRounds rounds of catchUpPause, so that these goroutines can post what arrived during the stall. Otherwise
 // the core's timeouts would expire before the core gets the messages that peers sent in time, and the core would take
 // these peers for unresponsive.
 const (
-	stalledAfter     = 50 * time.Millisecond
 	catchUpPause     = time.Millisecond
 	maxCatchUpRounds = 10
 )
@@ -127,7 +130,7 @@
 	next, hasNext := time.Duration(0), false
 	for {
 		ran, stopped := l.runJobs()
-		if !stopped && hasNext && l.clock.Now() > next+stalledAfter {
+		if !stopped && hasNext && l.clock.Now() > next+StalledAfter {
 			stopped = l.catchUp(ran)
 		}
 		if stopped {
--- a/internal/server/platform/stalldetector.go
+++ b/internal/server/platform/stalldetector.go
@@ -4,14 +4,11 @@
 	"time"
 
 	platformcore "forkhead/internal/scheduler/platform"
+	"forkhead/internal/server/eventloop"
 )
 
-const (
-	// stalledAfter is how late a step must be for the process to count as stalled: it was stopped, or got no processor.
-	stalledAfter = 50 * time.Millisecond
-	// backlogTime is the time after a stall within which the bytes that came during the stall are read.
-	backlogTime = 100 * time.Millisecond
-)
+// backlogTime is the time after a stall within which the bytes that came during the stall are read.
+const backlogTime = 100 * time.Millisecond
 
 // stallDetector finds out that the process did not run for some time. What peers sent meanwhile waited in the sockets.
 // It is used by the event loop's goroutine only.
@@ -24,7 +21,7 @@
 
 // observe records a step.
 func (d *stallDetector) observe(now time.Duration) {
-	if d.nextStepAt > 0 && now > d.nextStepAt+stalledAfter {
+	if d.nextStepAt > 0 && now > d.nextStepAt+eventloop.StalledAfter {
 		d.stalledAt, d.resumedAt = d.lastStepAt, now
 	}
 }
--- a/internal/server/platform/stalldetector_test.go
+++ b/internal/server/platform/stalldetector_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	platformcore "forkhead/internal/scheduler/platform"
+	"forkhead/internal/server/eventloop"
 )
 
 // What is read right after a stall may have waited since the last step before it. What is read later has not.
@@ -17,7 +18,7 @@
 	}{
 		{1000 * ms, 1050 * ms, 0},
 		{1050 * ms, 1100 * ms, 0},
-		{1140 * ms, 1190 * ms, 0}, // late by less than stalledAfter
+		{1140 * ms, 1190 * ms, 0}, // late by less than eventloop.StalledAfter
 		{2190 * ms, 2240 * ms, 1050 * ms},
 		{2200 * ms, 2240 * ms, 1060 * ms},
 		{2240 * ms, 2290 * ms, 1100 * ms},
@@ -41,7 +42,7 @@
 	o := newTestOwner(t, s.Address())
 	o.probe(t)
 	resume := stall(t, s)
-	time.Sleep(stalledAfter) // the process is known to have run until the step before
+	time.Sleep(eventloop.StalledAfter) // the process is known to have run until the step before
 	sentAt := time.Now()
 	o.request("00000000000000c1", 2000)
 	time.Sleep(stalled)
@@ -49,8 +50,8 @@
 	o.awaitAnswer(t, "00000000000000c1")
 	waited := time.Since(sentAt)
 	got := host.offeredTime(t, "00000000000000c1")
-	if most := 2*time.Second - stalled; got > most || got < 2*time.Second-waited-2*stalledAfter {
+	if most := 2*time.Second - stalled; got > most || got < 2*time.Second-waited-2*eventloop.StalledAfter {
 		t.Errorf("time that the host is told for a request of 2 s sent %v before the stall ended: got %v, want at most %v and at least %v",
-			stalled, got, most, 2*time.Second-waited-2*stalledAfter)
+			stalled, got, most, 2*time.Second-waited-2*eventloop.StalledAfter)
 	}
 }
--- a/internal/verify/noderules/offers.go
+++ b/internal/verify/noderules/offers.go
@@ -27,7 +27,7 @@
 	c.checkSpread(r, e)
 	c.checkRepeat(r, e)
 	r.mayHaveRun = true
-	h.tasks[e.message.Ref] = &task{request: r, host: e.Party.Number, placer: e.Placer, conn: e.Conn, offeredAt: e.At}
+	h.tasks[e.message.Ref] = &task{request: r, placer: e.Placer, conn: e.Conn, offeredAt: e.At}
 }
 
 // checkSpread counts the tasks of the offered service that the placer has in the domain of the host.
--- a/internal/verify/noderules/tasks.go
+++ b/internal/verify/noderules/tasks.go
@@ -10,7 +10,6 @@
 // task is an offer at a host, or the task that the host runs because of it.
 type task struct {
 	request   *request
-	host      int // number of the host
 	placer    int
 	conn      platformmodel.ConnID // connection of the offer
 	offeredAt time.Duration        // when the host received the offer
