--- a/internal/scheduler/platform/closedrequests_test.go
+++ b/internal/scheduler/platform/closedrequests_test.go
@@ -10,15 +10,13 @@
 )
 
 // requestUnanswered sends the request of ref1 on a new connection, whose offer goes to host 1, and ends the connection
-// before the host's answer. It returns the connection to the host.
-func (w *testCore) requestUnanswered(class string) (conn ConnectionID) {
+// before the host's answer.
+func (w *testCore) requestUnanswered(class string) {
 	w.t.Helper()
 	before := w.connectOwner()
 	w.send(before, requestLine(ref1, class, ""))
 	w.connectDialed()
-	conn = w.core.hosts[1].leastBusyConnection().id
 	w.step(OwnerDisconnected{Owner: before, Reset: true})
-	return conn
 }
 
 // Guards against an unsafe task that is started twice: its request meets a reset of its connection while a host has the
