server/platform: a test counts offers only once the placer has read all requests

Cause: the test takes its bound, connections less those with unsent bytes, at the first moment at which one has unsent bytes, while the placer still reads requests and makes connections. Shown by its counts in 12 runs at once under -race: 1 or 5 of 6 connections had unsent bytes at the measurement, 6 of 6 once a probe behind the requests was answered. Reads of 8 KiB (e.g. 100 requests of 12 kB in more steps) make that moment longer. The product is as it was.

Change: the counts are taken when the placer has read all requests and dials no host. The assertion is the same, its bound never larger.

--- a/internal/server/platform/hosts_test.go
+++ b/internal/server/platform/hosts_test.go
@@ -98,11 +98,13 @@
 		send(o.conn, `{"t":"new","ref":"%016x","f":{"class":"keyed","left":"60000","tenant":"acme","key":"%016x","idem":"k%d","extras":"cores:0.001;memory:0.001;service:%016x"},"d":"%s"}`+"\n",
 			0xd000+n, n, n, n, strings.Repeat("x", 12<<10))
 	}
+	o.probe(t) // the placer has read all requests
 	open, unsent := 0, 0
-	eventually(t, "an offer has unsent bytes", func() bool {
+	eventually(t, "no host is being dialed, and an offer has unsent bytes", func() bool {
 		time.Sleep(100 * time.Millisecond)
+		isDialing := dialingHostCount(s) > 0
 		open, unsent = hostConnectionCounts(s)
-		return unsent > 0
+		return !isDialing && unsent > 0
 	})
 	_ = o.conn.Close()
 	eventually(t, "the placer sees that the owner has left", func() bool { return openOwnerCount(s) == 0 })
