netio: a reset whose error the poller has read is still told from a close

Cause: the poller's read takes the socket's error, and with it POLLERR, a moment before the connection counts as closed; PeerClosed went by POLLERR alone. A release that met a reset in that moment would not have gone out again. Change: POLLHUP counts too: it means that both directions have ended, which a close by the peer alone does not set. Measured: 800 repetitions under -race, 8 at once, passed.

--- a/internal/server/netio/conn.go
+++ b/internal/server/netio/conn.go
@@ -97,7 +97,9 @@
 	if err != nil || n == 0 {
 		return false, false
 	}
-	return fds[0].Revents&hangup != 0, fds[0].Revents&unix.POLLERR != 0
+	// The poller's read may have taken the error of a reset, and with it POLLERR. POLLHUP stays: an orderly close of the
+	// peer alone does not set it.
+	return fds[0].Revents&hangup != 0, fds[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
 }
 
 // IsReset reports whether a connection ended for the given reason because the peer reset it.
