netio: PeerClosed says no more whether it was a reset, as no poll can tell

Cause: POLLERR goes with the poller's read, and POLLHUP also comes with our own close, so neither tells a reset from a close at every moment. An owner that leaves right behind its bytes counts as one whose connection may have been reset: what was written to it within a second goes out again.

--- a/internal/server/netio/conn.go
+++ b/internal/server/netio/conn.go
@@ -20,7 +20,6 @@
 	pending    atomic.Int64 // number of bytes that are written but not yet passed to the kernel
 
 	closed             atomic.Bool
-	wasReset           atomic.Bool // set before closed
 	closeAfterFlush    atomic.Bool // whether to close the connection when pending reaches 0
 	shutdownAfterFlush atomic.Bool // whether to close the sending side when pending reaches 0
 	reportOnce         sync.Once   // ensures that the handler's Closed is called once
@@ -41,9 +40,6 @@
 
 // reportClosed marks the connection as closed and calls the handler's Closed, at most once.
 func (c *Conn) reportClosed(err error) {
-	if IsReset(err) {
-		c.wasReset.Store(true)
-	}
 	c.closed.Store(true)
 	c.reportOnce.Do(func() { c.handler.Closed(c, err) })
 }
@@ -86,20 +82,15 @@
 func (c *Conn) PendingBytes() int { return int(c.pending.Load()) }
 
 // PeerClosed reports whether the peer has closed its side or reset the connection, even if the poller has not read that
-// yet, and whether it was a reset.
-func (c *Conn) PeerClosed() (closed, reset bool) {
+// yet.
+func (c *Conn) PeerClosed() bool {
 	if c.closed.Load() {
-		return true, c.wasReset.Load()
+		return true
 	}
 	const hangup = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR | unix.POLLNVAL
 	fds := []unix.PollFd{{Fd: int32(c.raw.Hash()), Events: unix.POLLRDHUP}}
 	n, err := unix.Poll(fds, 0)
-	if err != nil || n == 0 {
-		return false, false
-	}
-	// The poller's read may have taken the error of a reset, and with it POLLERR. POLLHUP stays: an orderly close of the
-	// peer alone does not set it.
-	return fds[0].Revents&hangup != 0, fds[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
+	return err == nil && n > 0 && fds[0].Revents&hangup != 0
 }
 
 // IsReset reports whether a connection ended for the given reason because the peer reset it.
--- a/internal/server/platform/owners.go
+++ b/internal/server/platform/owners.go
@@ -127,11 +127,8 @@
 			return
 		}
 		c.owners.inputs.add(platformcore.OwnerData{Owner: c.id, Data: data})
-		if len(data) == netio.ReadSize {
-			return // more bytes may wait before the end
-		}
-		if closed, isBroken := stream.PeerClosed(); closed {
-			c.disconnected(isBroken)
+		if len(data) < netio.ReadSize && stream.PeerClosed() {
+			c.disconnected(true) // nothing tells a reset from a close yet
 		}
 	})
 }
