--- /dev/null
+++ b/review/second/service.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// service is a small deployment of the service: a catalog, a placer with its state on disk, and hosts.
+type service struct {
+	*lab
+	catalog, placer string // addresses
+	settings        string // file
+	process         *process
+	starts          int
+}
+
+// settingsText holds the settings of the deployment: two kinds of hosts and a class of each effect. A task of ledger-run
+// must never be started twice.
+const settingsText = `(forkhead
+  (placer (zone north) (http %q) (tell %q))
+  (kind std-28 (cores 28) (memory 64GiB))
+  (kind large-56 (cores 56) (memory 128GiB))
+  (class web (effect safe) (aim 800ms) (wait 4s) (patience 20s))
+  (class calendar-batch (effect safe) (kind large-56) (priority 1) (aim 4s) (wait 4s) (patience 12s) (worth 6))
+  (class ledger-run (effect unsafe) (kind large-56) (aim 5s) (wait 5s) (patience 12s) (worth 4))
+  (default-class web)
+  (mean-cores 1) (mean-memory 2GiB)
+  (bound running)
+  (cold (for 6s) (window 1s) (offers 24) (from 0.25) (multiple 4))
+  (catalogue (address %q)))
+`
+
+// newService starts the catalog and the placer.
+func (l *lab) newService() (*service, error) {
+	s := &service{lab: l, settings: filepath.Join(l.dir, "settings.sexp")}
+	var err error
+	if s.catalog, err = freePort(); err != nil {
+		return nil, err
+	}
+	if s.placer, err = freePort(); err != nil {
+		return nil, err
+	}
+	gossip, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(s.settings, fmt.Appendf(nil, settingsText, s.placer, gossip, s.catalog), 0o600); err != nil {
+		return nil, err
+	}
+	if _, err := l.start("catalog", nil, program("forkhead"), "catalogue", "--listen", s.catalog); err != nil { //nolint:misspell // the command's name
+		return nil, err
+	}
+	if err := awaitListener(s.catalog); err != nil {
+		return nil, err
+	}
+	return s, s.startPlacer()
+}
+
+// startPlacer starts the placer with the state that an earlier process of it has left.
+func (s *service) startPlacer() error {
+	var err error
+	s.starts++
+	s.process, err = s.start(fmt.Sprint("placer-", s.starts), nil, program("forkhead"), "serve", "--log", "info",
+		"--config", s.settings, "--store", filepath.Join(s.dir, "placer.db"))
+	if err != nil {
+		return err
+	}
+	return awaitListener(s.placer)
+}
+
+// awaitHosts waits until the placer is connected to so many ready hosts.
+func (s *service) awaitHosts(count int) error {
+	for range 500 {
+		status, err := s.status()
+		if err == nil && status.HostsUp >= count && status.HostsReady >= count {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("the placer does not see %d hosts", count)
+}
+
+// placerStatus is what a case reads of the placer's status.
+type placerStatus struct {
+	HostsUp     int `json:"hosts_up"`
+	HostsReady  int `json:"hosts_ready"`
+	TasksPlaced int `json:"tasks_placed"`
+}
+
+func (s *service) status() (placerStatus, error) {
+	var status placerStatus
+	response, err := http.Get("http://" + s.placer + "/v1/status")
+	if err != nil {
+		return status, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// outcome is an outcome of a task as a client reads it.
+type outcome struct {
+	Service string `json:"service"`
+	Replica int    `json:"replica"`
+	Outcome string `json:"outcome"`
+	Host    string `json:"host"`
+	Reason  string `json:"reason"`
+}
+
+// submission is a client's submission with the outcomes that it has read.
+type submission struct {
+	done chan struct{} // closed when the stream has ended
+
+	mu       sync.Mutex // guards the fields below
+	outcomes []outcome
+	status   int  // of the response
+	complete bool // the stream has ended as a whole stream does
+}
+
+func (s *submission) read() (outcomes []outcome, complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]outcome(nil), s.outcomes...), s.complete
+}
+
+// submit sends a specification under a key and reads its outcomes until the stream ends or the time is over.
+func (s *service) submit(key, specification string, patience time.Duration) *submission {
+	sub := &submission{done: make(chan struct{})}
+	s.record("client: submits under key %s: %s", key, strings.Join(strings.Fields(specification), " "))
+	go func() {
+		defer close(sub.done)
+		err := s.follow(sub, key, specification, patience)
+		s.record("client: stream of key %s ended: %v", key, err)
+	}()
+	return sub
+}
+
+func (s *service) follow(sub *submission, key, specification string, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.placer+"/v1/submissions", strings.NewReader(specification))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/yaml")
+	request.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	s.record("client: key %s: %s, %s", key, response.Status, response.Header.Get("Location"))
+	sub.mu.Lock()
+	sub.status = response.StatusCode
+	sub.mu.Unlock()
+	lines := bufio.NewReader(response.Body)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			sub.mu.Lock()
+			sub.complete = err == io.EOF && response.StatusCode == http.StatusOK //nolint:errorlint // the whole end of a stream is EOF itself
+			sub.mu.Unlock()
+			return err
+		}
+		var o outcome
+		if err := json.Unmarshal(line, &o); err != nil {
+			return fmt.Errorf("an outcome cannot be read: %w", err)
+		}
+		s.record("client: key %s: %s", key, strings.TrimSpace(string(line)))
+		sub.mu.Lock()
+		sub.outcomes = append(sub.outcomes, o)
+		sub.mu.Unlock()
+	}
+}
+
+// await waits until a stream has ended, for at most the time given.
+func (s *submission) await(limit time.Duration) (ended bool) {
+	select {
+	case <-s.done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// removeProject asks the placer to stop a project.
+func (s *service) removeProject(name string) error {
+	request, err := http.NewRequest(http.MethodDelete, "http://"+s.placer+"/v1/projects/"+name, http.NoBody)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	s.record("client: removes project %s: %s", name, response.Status)
+	return response.Body.Close()
+}
+
+// countEvents returns how many events of a kind the hosts have logged for a task.
+func (l *lab) countEvents(what, task string) int {
+	n := 0
+	for _, e := range l.hostEvents() {
+		if e.What == what && e.Task == task {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitEvents waits until the hosts have logged so many events of a kind for a task.
+func (l *lab) awaitEvents(what, task string, count int, limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if l.countEvents(what, task) >= count {
+			return nil
+		}
+	}
+	return fmt.Errorf("%d times %s of %s did not come within %v", count, what, task, limit)
+}
+
+// runningImages returns the images of a task that run now, by the hosts' logs.
+func (l *lab) runningImages(task string) []string {
+	counts := map[string]int{}
+	for _, e := range l.hostEvents() {
+		if e.Task != task {
+			continue
+		}
+		switch e.What {
+		case "launched":
+			counts[e.Image]++
+		case "over":
+			counts[e.Image]--
+		}
+	}
+	var running []string
+	for _, image := range slices.Sorted(maps.Keys(counts)) {
+		for range counts[image] {
+			running = append(running, image)
+		}
+	}
+	return running
+}
