--- a/review/second/host.go
+++ b/review/second/host.go
@@ -44,19 +44,19 @@
 	clock *clock.Clock
 	log   *json.Encoder
 
-	mu      sync.Mutex // guards the fields below
-	model   *hostmodel.Host
-	conns   map[hostmodel.ConnID]net.Conn
-	tasks   map[hostproto.Ref]hostEvent // what is known of each attempt
-	images  map[uint64]string           // images by the fingerprint of the specification
-	bound   map[boundTask]int           // tasks that are launched and not over
-	lastID  hostmodel.ConnID
+	mu     sync.Mutex // guards the fields below
+	model  *hostmodel.Host
+	conns  map[hostmodel.ConnID]net.Conn
+	tasks  map[hostproto.Ref]hostEvent // what is known of each attempt
+	images map[uint64]string           // images by the fingerprint of the specification
+	bound  map[boundTask]int           // tasks that are launched and not over
+	lastID hostmodel.ConnID
 }
 
 // imagePattern finds the image in the payload of an offer.
 var imagePattern = regexp.MustCompile(`[a-z][a-z-]*:[0-9]+`)
 
-// runHost runs a host until its process is ended.
+// runHost runs a host until its process is ended. It returns only with an error.
 func runHost(args []string) error {
 	flags := flag.NewFlagSet("host", flag.ContinueOnError)
 	name := flags.String("name", "h", "name of the host")
--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -50,7 +49,9 @@
 }
 
 // record adds a line to the record.
-func (l *lab) record(format string, args ...any) { l.recordAt(time.Now(), fmt.Sprintf(format, args...)) }
+func (l *lab) record(format string, args ...any) {
+	l.recordAt(time.Now(), fmt.Sprintf(format, args...))
+}
 
 func (l *lab) recordAt(at time.Time, text string) {
 	l.mu.Lock()
@@ -166,5 +167,3 @@
 	}
 	return filepath.Join("bin", name)
 }
-
-func milliseconds(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -28,11 +28,8 @@
 
 func main() {
 	if len(os.Args) >= 2 && os.Args[1] == "host" {
-		if err := runHost(os.Args[2:]); err != nil {
-			fmt.Fprintln(os.Stderr, "host:", err)
-			os.Exit(exitNotRun)
-		}
-		return
+		fmt.Fprintln(os.Stderr, "host:", runHost(os.Args[2:]))
+		os.Exit(exitNotRun)
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: second CASE FOLDER")
--- a/review/second/service.go
+++ b/review/second/service.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -38,9 +39,12 @@
   (mean-cores 1) (mean-memory 2GiB)
   (bound running)
   (cold (for 6s) (window 1s) (offers 24) (from 0.25) (multiple 4))
-  (catalogue (address %q)))
+  (%s (address %q)))
 `
 
+// catalogWord is the word for the catalog in the settings and in the name of the command.
+const catalogWord = "catalogue" //nolint:misspell // the word's spelling there
+
 // newService starts the catalog and the placer.
 func (l *lab) newService() (*service, error) {
 	s := &service{lab: l, settings: filepath.Join(l.dir, "settings.sexp")}
@@ -55,10 +59,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(s.settings, fmt.Appendf(nil, settingsText, s.placer, gossip, s.catalog), 0o600); err != nil {
+	if err := os.WriteFile(s.settings, fmt.Appendf(nil, settingsText, s.placer, gossip, catalogWord, s.catalog), 0o600); err != nil {
 		return nil, err
 	}
-	if _, err := l.start("catalog", nil, program("forkhead"), "catalogue", "--listen", s.catalog); err != nil { //nolint:misspell // the command's name
+	if _, err := l.start("catalog", nil, program("forkhead"), catalogWord, "--listen", s.catalog); err != nil {
 		return nil, err
 	}
 	if err := awaitListener(s.catalog); err != nil {
@@ -168,7 +172,7 @@
 		line, err := lines.ReadBytes('\n')
 		if err != nil {
 			sub.mu.Lock()
-			sub.complete = err == io.EOF && response.StatusCode == http.StatusOK //nolint:errorlint // the whole end of a stream is EOF itself
+			sub.complete = errors.Is(err, io.EOF) && response.StatusCode == http.StatusOK
 			sub.mu.Unlock()
 			return err
 		}
