--- a/review/second/host.go
+++ b/review/second/host.go
@@ -30,6 +30,7 @@
 	Task    string `json:"task"`
 	Image   string `json:"image"`
 	Attempt string `json:"attempt"`
+	Key     string `json:"key,omitempty"` // of an offer
 	Detail  string `json:"detail,omitempty"`
 }
 
@@ -166,8 +167,8 @@
 	switch f := f.(type) {
 	case hostproto.Offer:
 		h.images[f.Spec.Fingerprint] = string(imagePattern.Find(f.Payload))
-		h.tasks[f.Ref] = hostEvent{Task: f.Spec.Name, Image: h.images[f.Spec.Fingerprint]}
-		h.write(f.Ref, "offered", "")
+		h.tasks[f.Ref] = hostEvent{Task: f.Spec.Name, Image: h.images[f.Spec.Fingerprint], Key: fmt.Sprintf("%016x", f.Spec.Key)}
+		h.write(f.Ref, "offered", "key "+h.tasks[f.Ref].Key)
 	case hostproto.Stop:
 		h.write(f.Ref, "stop", "")
 	case hostproto.Withdraw:
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -22,8 +22,9 @@
 var cases = map[string]func(*lab) (broken bool, err error){
 	"rerun":      caseRerun,
 	"unanswered": caseUnanswered,
-	"revert":     caseRevert,
+	"two-copies": caseTwoCopies,
 	"refused":    caseRefused,
+	"make":       caseMake,
 }
 
 func main() {
--- a/review/second/service.go
+++ b/review/second/service.go
@@ -8,7 +8,10 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -22,6 +25,7 @@
 	*lab
 	catalog, placer string // addresses
 	settings        string // file
+	store           bool   // whether the placer keeps its state on disk
 	process         *process
 	starts          int
 }
@@ -33,6 +37,7 @@
   (kind std-28 (cores 28) (memory 64GiB))
   (kind large-56 (cores 56) (memory 128GiB))
   (class web (effect safe) (aim 800ms) (wait 4s) (patience 20s))
+  (class listing-svc (effect keyed) (group anywhere) (window 8s) (aim 800ms) (wait 4s) (patience 20s) (worth 2))
   (class calendar-batch (effect safe) (kind large-56) (priority 1) (aim 4s) (wait 4s) (patience 12s) (worth 6))
   (class ledger-run (effect unsafe) (kind large-56) (aim 5s) (wait 5s) (patience 12s) (worth 4))
   (default-class web)
@@ -45,9 +50,12 @@
 // catalogWord is the word for the catalog in the settings and in the name of the command.
 const catalogWord = "catalogue" //nolint:misspell // the word's spelling there
 
-// newService starts the catalog and the placer.
-func (l *lab) newService() (*service, error) {
-	s := &service{lab: l, settings: filepath.Join(l.dir, "settings.sexp")}
+// newService starts the catalog and the placer, which keeps its state on disk.
+func (l *lab) newService() (*service, error) { return l.newServiceWith(true, 0) }
+
+// newServiceWith starts the catalog and the placer. The catalog answers the placer late by listDelay.
+func (l *lab) newServiceWith(store bool, listDelay time.Duration) (*service, error) {
+	s := &service{lab: l, settings: filepath.Join(l.dir, "settings.sexp"), store: store}
 	var err error
 	if s.catalog, err = freePort(); err != nil {
 		return nil, err
@@ -59,7 +67,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(s.settings, fmt.Appendf(nil, settingsText, s.placer, gossip, catalogWord, s.catalog), 0o600); err != nil {
+	list, err := s.delayList(listDelay)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(s.settings, fmt.Appendf(nil, settingsText, s.placer, gossip, catalogWord, list), 0o600); err != nil {
 		return nil, err
 	}
 	if _, err := l.start("catalog", nil, program("forkhead"), catalogWord, "--listen", s.catalog); err != nil {
@@ -71,12 +83,33 @@
 	return s, s.startPlacer()
 }
 
+// delayList returns the address at which the placer reads the list of hosts, with each answer late by a delay.
+func (s *service) delayList(delay time.Duration) (string, error) {
+	if delay == 0 {
+		return s.catalog, nil
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: s.catalog})
+	proxy.ModifyResponse = func(*http.Response) error {
+		time.Sleep(delay)
+		return nil
+	}
+	go func() { _ = http.Serve(listener, proxy) }()
+	return listener.Addr().String(), nil
+}
+
 // startPlacer starts the placer with the state that an earlier process of it has left.
 func (s *service) startPlacer() error {
 	var err error
 	s.starts++
-	s.process, err = s.start(fmt.Sprint("placer-", s.starts), nil, program("forkhead"), "serve", "--log", "info",
-		"--config", s.settings, "--store", filepath.Join(s.dir, "placer.db"))
+	command := []string{program("forkhead"), "serve", "--log", "info", "--config", s.settings}
+	if s.store {
+		command = append(command, "--store", filepath.Join(s.dir, "placer.db"))
+	}
+	s.process, err = s.start(fmt.Sprint("placer-", s.starts), nil, command...)
 	if err != nil {
 		return err
 	}
@@ -254,3 +287,33 @@
 	}
 	return running
 }
+
+// dedupWindow is the time for which hosts keep a key, by the settings, and slack what the check allows beyond it.
+const dedupWindow, slack = 8 * time.Second, 50 * time.Millisecond
+
+// sentBeyondWindow returns the offers of a key that came more than dedupWindow after an earlier offer of it, while the task of
+// that earlier offer ran.
+func (l *lab) sentBeyondWindow() []string {
+	type place struct{ host, task, image string }
+	placeOf := func(e *hostEvent) place { return place{e.Host, e.Task, e.Image} }
+	runs := map[place]int{}
+	offers := map[string][]hostEvent{} // by key
+	var found []string
+	for _, e := range l.hostEvents() {
+		switch e.What {
+		case "launched":
+			runs[placeOf(&e)]++
+		case "over":
+			runs[placeOf(&e)]--
+		case "offered":
+			for _, earlier := range offers[e.Key] {
+				if runs[placeOf(&earlier)] > 0 && e.time().Sub(earlier.time()) > dedupWindow+slack {
+					found = append(found, fmt.Sprintf("key %s was sent to %s as %s, %.1f s after it was sent to %s as %s, which runs there",
+						e.Key, e.Host, e.Image, e.time().Sub(earlier.time()).Seconds(), earlier.Host, earlier.Image))
+				}
+			}
+			offers[e.Key] = append(offers[e.Key], e)
+		}
+	}
+	return found
+}
--- a/review/second/servicecases.go
+++ b/review/second/servicecases.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -110,7 +111,7 @@
 services:
   front:
     image: front:%d
-    x-forkhead: {class: web}
+    x-forkhead: {class: listing-svc}
     deploy:
       replicas: 1
       resources: {reservations: {cpus: "%d", memory: 2gb}}
@@ -128,44 +129,27 @@
       placement: {max_replicas_per_node: 1}
 `
 
-// caseRevert: a specification is edited, and edited back while the update waits for room. Without the trouble, the room is
-// there before the edit, so that the update is over when the specification is edited back.
-func caseRevert(l *lab) (broken bool, err error) {
-	s, err := l.newService()
+// caseTwoCopies: a specification of one keyed task is edited, and edited again while the update waits for room. Without the
+// trouble, the room is there before the first edit, so that the update is over when the second one comes. In the end the
+// project is removed.
+func caseTwoCopies(l *lab) (broken bool, err error) {
+	s, err := l.newServiceWithFiller()
 	if err != nil {
 		return false, err
 	}
-	for _, name := range []string{"a", "b"} {
-		if _, err := s.startHost(name, s.catalog, "-rack", "r-"+name); err != nil {
-			return false, err
-		}
-	}
-	if err := s.awaitHosts(2); err != nil {
-		return false, err
-	}
-	steps := []string{fmt.Sprintf(shop, 1, 2), filler}
-	for i, specification := range steps {
-		if sub := s.submit(fmt.Sprint("k", i), specification, 20*time.Second); !sub.await(10 * time.Second) {
-			return false, errors.New("the first tasks were not placed")
-		}
-	}
 	if !l.trouble {
 		if err := s.removeProject("filler"); err != nil {
 			return false, err
 		}
 		time.Sleep(time.Second)
 	}
-	s.submit("update", fmt.Sprintf(shop, 2, 24), 60*time.Second)
+	s.submit("k2", fmt.Sprintf(shop, 2, 24), 60*time.Second)
 	time.Sleep(2 * time.Second)
-	reverted := s.submit("revert", fmt.Sprintf(shop, 1, 2), 60*time.Second)
-	if !reverted.await(10 * time.Second) {
-		return false, errors.New("the specification that was edited back got no outcome")
+	last := s.submit("k3", fmt.Sprintf(shop, 3, 2), 60*time.Second)
+	if !last.await(10 * time.Second) {
+		return false, errors.New("the last specification got no outcome")
 	}
-	outcomes, _ := reverted.read()
-	if len(outcomes) != 1 || outcomes[0].Outcome != "placed" {
-		return false, errors.New("the specification that was edited back was not placed")
-	}
-	time.Sleep(time.Second)
+	time.Sleep(10 * time.Second) // longer than the 8 s for which hosts keep a key
 	if l.trouble {
 		if err := s.removeProject("filler"); err != nil {
 			return false, err
@@ -173,8 +157,41 @@
 	}
 	time.Sleep(8 * time.Second)
 	running := l.runningImages("shop/front/1")
-	l.record("check: the last specification has front:1, answered with %q (%s); what runs is %v", outcomes[0].Outcome, outcomes[0].Reason, running)
-	return len(running) != 1 || running[0] != "front:1", nil
+	l.record("check: the last specification has one task, front:3; what runs is %v", running)
+	if err := s.removeProject("shop"); err != nil {
+		return false, err
+	}
+	time.Sleep(8 * time.Second)
+	left := l.runningImages("shop/front/1")
+	l.record("check: the project was removed 8 s ago; what runs of it is %v", left)
+	repeats := l.sentBeyondWindow()
+	for _, text := range repeats {
+		l.record("check: %s", text)
+	}
+	return len(repeats) > 0, nil
+}
+
+// newServiceWithFiller starts a deployment with two hosts, on which front:1 and another project's tasks run. These leave no
+// room for a task of 24 cores.
+func (l *lab) newServiceWithFiller() (*service, error) {
+	s, err := l.newService()
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range []string{"a", "b"} {
+		if _, err := s.startHost(name, s.catalog, "-rack", "r-"+name); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.awaitHosts(2); err != nil {
+		return nil, err
+	}
+	for i, specification := range []string{fmt.Sprintf(shop, 1, 2), filler} {
+		if sub := s.submit(fmt.Sprint("k", i), specification, 20*time.Second); !sub.await(10 * time.Second) {
+			return nil, errors.New("the first tasks were not placed")
+		}
+	}
+	return s, nil
 }
 
 const ledgerTask = `name: ledger
@@ -224,3 +241,64 @@
 	l.record("check: the task was launched %d times; its outcome is %q", launched, outcomes[0].Outcome)
 	return launched > 0 && outcomes[0].Outcome == "refused", nil
 }
+
+const listing = `name: lists
+services:
+  daily:
+    image: daily:%d
+    x-forkhead: {class: listing-svc}
+    deploy:
+      replicas: 2
+      resources: {reservations: {cpus: "2", memory: 2gb}}
+`
+
+// caseMake: a placer is killed and started again, and its owner submits a new version. The list of hosts is always late by a
+// second.
+func caseMake(l *lab) (broken bool, err error) {
+	s, err := l.newServiceWith(false, time.Second)
+	if err != nil {
+		return false, err
+	}
+	for _, name := range []string{"a", "b"} {
+		if _, err := s.startHost(name, s.catalog, "-rack", "r-"+name); err != nil {
+			return false, err
+		}
+	}
+	if err := s.awaitHosts(2); err != nil {
+		return false, err
+	}
+	if sub := s.submit("k1", fmt.Sprintf(listing, 1), 20*time.Second); !sub.await(10 * time.Second) {
+		return false, errors.New("the first version was not placed")
+	}
+	time.Sleep(time.Second)
+	if l.trouble {
+		l.kill(s.process)
+		time.Sleep(500 * time.Millisecond)
+		if err := s.startPlacer(); err != nil {
+			return false, err
+		}
+	}
+	sub := s.submit("k2", fmt.Sprintf(listing, 2), 40*time.Second)
+	if !sub.await(30 * time.Second) {
+		return false, errors.New("the second version got no outcomes")
+	}
+	time.Sleep(10 * time.Second)
+	if again := s.submit("k3", fmt.Sprintf(listing, 2), 20*time.Second); !again.await(10 * time.Second) {
+		return false, errors.New("the second version, submitted again, got no outcomes")
+	}
+	time.Sleep(5 * time.Second)
+	placed, wrong := 0, 0
+	outcomes, _ := sub.read()
+	for _, o := range outcomes {
+		if o.Outcome != "placed" {
+			continue
+		}
+		placed++
+		running := l.runningImages(fmt.Sprintf("lists/daily/%d", o.Replica))
+		l.record("check: replica %d of the second version was answered with %q at %s; what runs of it 15 s later is %v", o.Replica, o.Outcome, o.Host, running)
+		if !slices.Contains(running, "daily:2") {
+			wrong++
+		}
+	}
+	return placed > 0 && wrong > 0, nil
+}
