--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 	echo 'run the build of deploy/balancer.toml and review/build-2.sh first' >&2
 	exit 2
 fi
-exec bin/review-second make review/9
+exec bin/review-second two-copies review/9
--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -111,6 +111,19 @@
 	l.record("%s: process killed", p.name)
 }
 
+// terminate ends a process with SIGTERM and waits for it.
+func (l *lab) terminate(p *process) error {
+	l.record("%s: SIGTERM", p.name)
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+		l.record("%s: process ended", p.name)
+		return nil
+	case <-time.After(10 * time.Second):
+		return fmt.Errorf("%s did not end within 10 s of SIGTERM", p.name)
+	}
+}
+
 func (p *process) hasExited() bool {
 	select {
 	case <-p.exited:
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -23,6 +23,8 @@
 	"rerun":      caseRerun,
 	"unanswered": caseUnanswered,
 	"two-copies": caseTwoCopies,
+	"stopped":    caseStopped,
+	"slow-log":   caseSlowLog,
 	"refused":    caseRefused,
 	"make":       caseMake,
 }
--- a/review/second/service.go
+++ b/review/second/service.go
@@ -317,3 +317,20 @@
 	}
 	return found
 }
+
+// countRunning returns how many tasks run whose names begin with a prefix and that have an image, by the hosts' logs.
+func (l *lab) countRunning(prefix, image string) int {
+	n := 0
+	for _, e := range l.hostEvents() {
+		if !strings.HasPrefix(e.Task, prefix) || e.Image != image {
+			continue
+		}
+		switch e.What {
+		case "launched":
+			n++
+		case "over":
+			n--
+		}
+	}
+	return n
+}
--- a/review/second/servicecases.go
+++ b/review/second/servicecases.go
@@ -302,3 +302,53 @@
 	}
 	return placed > 0 && wrong > 0, nil
 }
+
+const web = `name: shop
+services:
+  front:
+    image: front:%d
+    x-forkhead: {class: web}
+    deploy:
+      replicas: 3
+      resources: {reservations: {cpus: "%d", memory: 2gb}}
+      update_config: {order: start-first}
+`
+
+// caseStopped: an update that cannot be placed is stopped, so that the earlier version runs on. Then the placer is
+// restarted as planned, with SIGTERM.
+func caseStopped(l *lab) (broken bool, err error) {
+	s, err := l.newService()
+	if err != nil {
+		return false, err
+	}
+	for _, name := range []string{"a", "b"} {
+		if _, err := s.startHost(name, s.catalog, "-rack", "r-"+name); err != nil {
+			return false, err
+		}
+	}
+	if err := s.awaitHosts(2); err != nil {
+		return false, err
+	}
+	if sub := s.submit("k1", fmt.Sprintf(web, 1, 2), 20*time.Second); !sub.await(10 * time.Second) {
+		return false, errors.New("the first version was not placed")
+	}
+	if sub := s.submit("k2", fmt.Sprintf(web, 2, 60), 60*time.Second); !sub.await(50 * time.Second) {
+		return false, errors.New("the second version got no outcomes")
+	}
+	time.Sleep(3 * time.Second)
+	if n := l.countRunning("shop/front/", "front:1"); n != 3 {
+		return false, fmt.Errorf("%d tasks of the first version run before the trouble, want 3", n)
+	}
+	if l.trouble {
+		if err := l.terminate(s.process); err != nil {
+			return false, err
+		}
+		if err := s.startPlacer(); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(20 * time.Second)
+	n := l.countRunning("shop/front/", "front:1")
+	l.record("check: 3 tasks of front:1 were placed and ran, %d run now", n)
+	return n < 3, nil
+}
