--- a/review/second/service.go
+++ b/review/second/service.go
@@ -30,7 +30,7 @@
 	starts          int
 }
 
-// settingsText holds the settings of the deployment: two kinds of hosts and a class of each effect. A task of ledger-run
+// settingsText holds the settings of the deployment: two kinds of hosts and a class of each effect. A task of ledger-batch
 // must never be started twice.
 const settingsText = `(forkhead
   (placer (zone north) (http %q) (tell %q))
@@ -39,7 +39,7 @@
   (class web (effect safe) (aim 800ms) (wait 4s) (patience 20s))
   (class listing-svc (effect keyed) (group anywhere) (window 8s) (aim 800ms) (wait 4s) (patience 20s) (worth 2))
   (class calendar-batch (effect safe) (kind large-56) (priority 1) (aim 4s) (wait 4s) (patience 12s) (worth 6))
-  (class ledger-run (effect unsafe) (kind large-56) (aim 5s) (wait 5s) (patience 12s) (worth 4))
+  (class ledger-batch (effect unsafe) (kind large-56) (aim 5s) (wait 5s) (patience 12s) (worth 4))
   (default-class web)
   (mean-cores 1) (mean-memory 2GiB)
   (bound running)
--- a/review/second/servicecases.go
+++ b/review/second/servicecases.go
@@ -11,7 +11,7 @@
 services:
   run:
     image: ledger:1
-    x-forkhead: {class: ledger-run, life: 3s}
+    x-forkhead: {class: ledger-batch, life: 3s}
     deploy:
       mode: replicated-job
       replicas: 1
@@ -198,7 +198,7 @@
 services:
   run:
     image: ledger:1
-    x-forkhead: {class: ledger-run, life: 30s}
+    x-forkhead: {class: ledger-batch, life: 30s}
     deploy:
       replicas: 1
       resources: {reservations: {cpus: "2", memory: 2gb}}
@@ -210,16 +210,16 @@
 	if err != nil {
 		return false, err
 	}
-	for _, name := range []string{"a", "b", "c"} {
+	for _, name := range []string{"a", "b", "c", "d"} {
 		if _, err := s.startHost(name, s.catalog, "-rack", "r-"+name); err != nil {
 			return false, err
 		}
 	}
-	large, err := s.startHost("d", s.catalog, "-kind", "large-56", "-cores", "56", "-memory", "128", "-start", "2s")
+	large, err := s.startHost("e", s.catalog, "-kind", "large-56", "-cores", "56", "-memory", "128", "-start", "2s")
 	if err != nil {
 		return false, err
 	}
-	if err := s.awaitHosts(4); err != nil {
+	if err := s.awaitHosts(5); err != nil {
 		return false, err
 	}
 	sub := s.submit("k1", ledgerTask, 60*time.Second)
