Review: a case's ports are its own, and an end of a process at its start is told

Change: ports below those of outgoing connections, at a place that follows from the process; a wait for a listener notices the end of its process and a connection to itself.

--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -143,14 +144,22 @@
 	}
 }
 
-// freePort returns a port of 127.0.0.1 that is free for TCP and UDP.
+// The ports that freePort tries lie below those that the kernel gives to outgoing connections, so that a port stays free while its
+// process is restarted. They begin at a place that follows from the process, so that cases that run at once get different ones.
+const firstPort, portCount, portsPerProcess = 12000, 20000, 8
+
+// portsTried is the number of ports that freePort has tried.
+var portsTried atomic.Int64
+
+// freePort returns an address of 127.0.0.1 whose port is free for TCP and UDP, another one at each call.
 func freePort() (string, error) {
-	for range 20 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portCount {
+		port := firstPort + (os.Getpid()*portsPerProcess+int(portsTried.Add(1)))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := listener.Addr().String()
 		packets, err := net.ListenPacket("udp", address)
 		_ = listener.Close()
 		if err == nil {
@@ -161,14 +170,23 @@
 	return "", errors.New("no free port")
 }
 
-// awaitListener waits until something listens at an address.
-func awaitListener(address string) error {
+// awaitListener waits until a process listens at an address.
+func (l *lab) awaitListener(p *process, address string) error {
 	for range 500 {
+		if p.hasExited() {
+			text, _ := os.ReadFile(filepath.Join(l.dir, p.name+".out"))
+			return fmt.Errorf("%s has ended: %s", p.name, strings.TrimSpace(string(text)))
+		}
 		conn, err := net.DialTimeout("tcp", address, time.Second)
-		if err == nil {
-			return conn.Close()
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		isOwn := conn.LocalAddr().String() == conn.RemoteAddr().String() // a connection to itself, which the kernel allows
+		_ = conn.Close()
+		if !isOwn {
+			return nil
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
 	return fmt.Errorf("nothing listens at %s", address)
 }
--- a/review/second/node.go
+++ b/review/second/node.go
@@ -272,7 +272,7 @@
 	if p.process, err = l.start("node", env, "/bin/sh", "-c", "exec "+program("forkhead")+" node --log info"); err != nil {
 		return nil, err
 	}
-	return p, awaitListener(address)
+	return p, l.awaitListener(p.process, address)
 }
 
 // ask sends set-ups on one connection, at a rate, until stop is closed. Each task is released by its host.
--- a/review/second/service.go
+++ b/review/second/service.go
@@ -74,10 +74,11 @@
 	if err := os.WriteFile(s.settings, fmt.Appendf(nil, settingsText, s.placer, gossip, catalogWord, list), 0o600); err != nil {
 		return nil, err
 	}
-	if _, err := l.start("catalog", nil, program("forkhead"), catalogWord, "--listen", s.catalog); err != nil {
+	catalog, err := l.start("catalog", nil, program("forkhead"), catalogWord, "--listen", s.catalog)
+	if err != nil {
 		return nil, err
 	}
-	if err := awaitListener(s.catalog); err != nil {
+	if err := l.awaitListener(catalog, s.catalog); err != nil {
 		return nil, err
 	}
 	return s, s.startPlacer()
@@ -113,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	return awaitListener(s.placer)
+	return s.awaitListener(s.process, s.placer)
 }
 
 // awaitHosts waits until the placer is connected to so many ready hosts.
