node: log list changes, ends of connections, refusals and retries with their reasons

Changes of hosts in the list, connections to hosts that opened or ended, failed dials, closed connections of owners, rejections, failures, attempts that left a request open and the sending of an end had no line.

The initial list and changes of free capacity are not logged. closeFaultyConnection is closeConnection now, as every close has a reason.

--- a/internal/scheduler/platform/attempt.go
+++ b/internal/scheduler/platform/attempt.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -186,6 +187,10 @@
 	if r.phase != requestOpen {
 		c.finished = append(c.finished, r)
 	}
+	if r.phase != requestOpen || end.final {
+		return
+	}
+	c.logInfo(messageAttemptEnded, hostAttr(a.host.name), refAttr(r.ref), slog.String(keyResult, resultNames[end.result]))
 }
 
 // detach removes an attempt from its connection, where it was in flight or queued.
--- a/internal/scheduler/platform/closedrequests.go
+++ b/internal/scheduler/platform/closedrequests.go
@@ -101,6 +101,7 @@
 func (c *Core) handleResubmission(owner *ownerConnection, closed *closedRequest) {
 	owner.recordRequest()
 	if closed.answer == nil {
+		c.logFailed(closed.ref, reasonMayHaveRun)
 		closed.answer = releaseMessage(closed.ref, platform.CauseFailed)
 	}
 	if closed.hasEnded && c.deliveredReleases.contains(deliveredRelease{owner.id, closed.ref}) {
--- a/internal/scheduler/platform/connection.go
+++ b/internal/scheduler/platform/connection.go
@@ -130,6 +130,7 @@
 		return
 	}
 	h := conn.host
+	c.logInfo(messageConnectionOpened, hostAttr(h.name), connectionAttr(conn.id), slog.String(keyAddress, h.address))
 	conn.state, conn.lastSentAt, conn.lastReceivedAt = connectionOpen, c.now, c.now
 	h.lastSeenAliveAt, h.redialBackoff, h.refusedDials = c.now, 0, 0
 	h.wasReset = false
@@ -171,12 +172,12 @@
 	case purposeReplacement:
 		for _, other := range slices.Clone(conn.host.connections) {
 			if other != conn && other.isIdle() {
-				c.halfClose(other)
+				c.halfClose(other, reasonSuperseded)
 			}
 		}
 	case purposeReachability:
 		if conn.inFlight == 0 && len(conn.host.connections) > 1 {
-			c.halfClose(conn)
+			c.halfClose(conn, reasonSuperseded)
 		}
 	case purposeMessages:
 	}
@@ -187,6 +188,7 @@
 	switch {
 	case conn == nil:
 	case failure.Local:
+		c.logConnection(messageDialFailed, conn, reasonLocalFailure)
 		c.removeConnection(conn)
 		conn.host.redialAt = c.now + minRedialBackoff
 		c.failQueued(conn, attemptEnd{input: attempt.Abandoned, result: forkhead.NotSent})
@@ -198,6 +200,11 @@
 // dialFailedAtHost handles a failed dial whose cause is not local.
 func (c *Core) dialFailedAtHost(conn *hostConnection, refused bool) {
 	h := conn.host
+	reason := reasonNoAnswer
+	if refused {
+		reason = reasonRefusesConnections
+	}
+	c.logConnection(messageDialFailed, conn, reason)
 	switch {
 	case refused && h.leastBusyConnection() != nil:
 		// The machine answers and its process still holds an open connection, so it drains or accepts no further ones.
@@ -262,7 +269,7 @@
 	if owner == nil || used >= c.config.MaxHostConnections || len(c.owners) <= c.config.ProtectedOwnerConnections {
 		return false
 	}
-	c.closeOwner(owner)
+	c.closeOwner(owner, reasonEvicted)
 	return true
 }
 
@@ -285,7 +292,7 @@
 	if h := conn.host; len(h.connections) == 1 {
 		h.redialAt = max(h.redialAt, c.now+unresponsiveAfter)
 	}
-	c.halfClose(conn)
+	c.halfClose(conn, reasonEvicted)
 }
 
 // ---- Closing connections.
@@ -293,11 +300,12 @@
 // halfClose closes an idle connection for writing and reads on until its host closes it too or halfClosedTimeout has
 // passed. A host assumes that all data that it has written is received, so an immediate close would lose the releases
 // and notes that cross it. When connections are exhausted, the connection is closed at once.
-func (c *Core) halfClose(conn *hostConnection) {
+func (c *Core) halfClose(conn *hostConnection, reason logReason) {
 	if len(c.halfClosed) >= maxHalfClosed && c.connectionsExhausted() {
-		c.closeConnection(conn)
+		c.closeConnection(conn, reason)
 		return
 	}
+	c.logConnection(messageConnectionClosed, conn, reason)
 	conn.state, conn.halfClosedAt = connectionHalfClosed, c.now
 	c.halfClosed = append(c.halfClosed, conn)
 	conn.host.connections = without(conn.host.connections, conn)
@@ -310,17 +318,31 @@
 	return len(c.connections)+len(c.owners) >= c.config.MaxConnections || len(c.connections) >= c.config.MaxHostConnections
 }
 
-// closeConnection closes a connection at once.
-func (c *Core) closeConnection(conn *hostConnection) {
+// closeConnection closes a connection at once and logs the reason.
+func (c *Core) closeConnection(conn *hostConnection, reason logReason, details ...slog.Attr) {
+	c.logConnection(messageConnectionClosed, conn, reason, details...)
 	c.emit(CloseHostConnection{conn.id})
 	c.connectionLost(conn)
 }
 
-// closeFaultyConnection closes a connection that cannot be used any further and logs the reason.
-func (c *Core) closeFaultyConnection(conn *hostConnection, reason logReason, details ...slog.Attr) {
+func (c *Core) logConnection(message string, conn *hostConnection, reason logReason, details ...slog.Attr) {
 	attributes := append([]slog.Attr{hostAttr(conn.host.name), connectionAttr(conn.id), reasonAttr(reason)}, details...)
-	c.logInfo(messageConnectionClosed, attributes...)
-	c.closeConnection(conn)
+	c.logInfo(message, attributes...)
+}
+
+// hostDisconnected handles the end of a connection that its host has closed or that was reset.
+func (c *Core) hostDisconnected(input HostDisconnected) {
+	conn := c.connections[input.Connection]
+	if conn == nil {
+		return
+	}
+	reason := reasonClosedByPeer
+	if input.Reset {
+		reason = reasonReset
+	}
+	c.logConnection(messageConnectionEnded, conn, reason)
+	conn.host.wasReset = input.Reset
+	c.connectionLost(conn)
 }
 
 // connectionLost handles the end of a connection. Attempts in flight on it may have run.
--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -130,10 +130,7 @@
 	case HostData:
 		c.receiveFromHost(input)
 	case HostDisconnected:
-		if conn := c.connections[input.Connection]; conn != nil {
-			conn.host.wasReset = input.Reset
-			c.connectionLost(conn)
-		}
+		c.hostDisconnected(input)
 	case WatchEventReceived:
 		c.handleWatchEvent(input)
 	case GossipReceived:
@@ -193,7 +190,7 @@
 	case forkhead.Reject:
 		c.executeReject(action)
 	case forkhead.Fail:
-		c.failRequest(action.Task)
+		c.failRequest(action.Task, reasonPolicy)
 	case forkhead.Withdraw:
 		c.executeWithdraw(action)
 	case forkhead.Stop:
--- a/internal/scheduler/platform/endpoints.go
+++ b/internal/scheduler/platform/endpoints.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -85,6 +86,13 @@
 	platform.Terminated:  forkhead.Removed,
 }
 
+// stateNames maps the states of machines to their names on the wire.
+var stateNames = map[forkhead.MachineState]platform.EndpointState{
+	forkhead.Ready:    platform.InService,
+	forkhead.Draining: platform.Terminating,
+	forkhead.Removed:  platform.Terminated,
+}
+
 // decodeEndpoint translates an entry of the endpoint list. ok is false if the entry cannot be used: its name has no
 // number, its state is unknown, or the settings lack its machine type or its zone. Type and zone of a removed host may
 // be unknown.
@@ -151,6 +159,7 @@
 		c.unlistedHosts--
 	}
 	entry = c.reconcileEntry(h, entry)
+	c.logHostChange(h, entry, stated, address)
 	if entry.State != forkhead.Ready && (h.entry.State == forkhead.Ready || h.drainingSince == 0) {
 		h.drainingSince = c.now
 	}
@@ -172,6 +181,16 @@
 	h.setEntry(entry)
 }
 
+// logHostChange logs a change of a host's state, address or start. The initial list is not logged, nor are changes of the
+// available capacity, which are too many.
+func (c *Core) logHostChange(h *host, entry forkhead.Machine, stated time.Duration, address string) {
+	isInitial := c.config.InitialEvents != nil
+	if isInitial || h.address != "" && entry.State == h.entry.State && stated == h.statedStart && (address == "" || address == h.address) {
+		return
+	}
+	c.logInfo(messageHostChanged, hostAttr(h.name), slog.String(keyState, string(stateNames[entry.State])), slog.String(keyAddress, address))
+}
+
 // handleHostRestart ends the tasks of a host's earlier incarnation and resets its redial backoff. The end of an
 // incarnation ends its connections, so that a task whose offer was sent on a connection that is closed counts as of an
 // earlier one even if the host's clock is behind.
@@ -208,9 +227,9 @@
 	for _, conn := range slices.Clone(h.connections) {
 		switch {
 		case conn.isIdle():
-			c.halfClose(conn)
+			c.halfClose(conn, reasonOutdated)
 		case state != forkhead.Removed:
-			c.closeConnection(conn)
+			c.closeConnection(conn, reasonOutdated)
 		}
 	}
 }
--- a/internal/scheduler/platform/hostmessages.go
+++ b/internal/scheduler/platform/hostmessages.go
@@ -35,7 +35,7 @@
 	})
 	if err != nil && c.connections[conn.id] == conn { // false if a message in the data has already closed the connection
 		c.receivedUnreadable(conn.host)
-		c.closeFaultyConnection(conn, reasonUnreadable, errorAttr(err))
+		c.closeConnection(conn, reasonUnreadable, errorAttr(err))
 	}
 }
 
@@ -127,7 +127,7 @@
 	})
 	for _, a := range overtaken {
 		if a.connection != nil { // nil if an earlier element of overtaken used the same connection, which is closed already
-			c.closeFaultyConnection(a.connection, reasonOvertaken)
+			c.closeConnection(a.connection, reasonOvertaken)
 		}
 	}
 }
@@ -197,6 +197,7 @@
 	r := a.request
 	end.input, end.result, end.final = attempt.Ended, forkhead.Reset, true
 	c.endAttempt(a, end)
+	c.logFailed(r.ref, reasonEndedUnanswered)
 	c.answer(r, attempt.AnsweredFailed, releaseMessage(r.ref, platform.CauseReset))
 }
 
--- a/internal/scheduler/platform/log.go
+++ b/internal/scheduler/platform/log.go
@@ -12,7 +12,17 @@
 // data is in the attributes.
 const (
 	messageTasksLost         = "tasks lost with their host"
+	messageHostChanged       = "host of the endpoint list changed"
+	messageConnectionOpened  = "connection to a host opened"
 	messageConnectionClosed  = "connection to a host closed"
+	messageConnectionEnded   = "connection to a host ended"
+	messageDialFailed        = "dial of a host failed"
+	messageOwnerClosed       = "connection of an owner closed"
+	messageOwnerReset        = "connection of an owner was reset"
+	messageAttemptEnded      = "attempt ended and its request is open"
+	messageRequestRejected   = "request rejected"
+	messageRequestFailed     = "request failed"
+	messageEndSent           = "end of a task sent to its owner"
 	messageUnusableEndpoint  = "unusable entry of the endpoint list ignored"
 	messageSecondHandOver    = "running task handed over under another ref"
 	messageUnknownTask       = "offer of an unknown task dropped"
@@ -29,7 +39,8 @@
 // logReason is the value of the attribute keyReason.
 type logReason string
 
-// Reasons why a connection was closed or the tasks of a host count as lost. They are constant, like the messages.
+// Reasons why a connection was closed, ended or not made, or the tasks of a host count as lost. They are constant, like
+// the messages.
 const (
 	reasonUnreadable         logReason = "a message cannot be read"
 	reasonPartialLine        logReason = "a message did not end"
@@ -44,6 +55,31 @@
 	reasonNotListed          logReason = "the endpoint list does not have it"
 	reasonRemoved            logReason = "the endpoint list has it as removed"
 
+	reasonIdle           logReason = "it was idle"
+	reasonSuperseded     logReason = "a newer connection replaces it"
+	reasonEvicted        logReason = "its slot was needed"
+	reasonOutdated       logReason = "the endpoint list changed its host"
+	reasonHalfClosedLong logReason = "its host did not close it in time"
+	reasonReset          logReason = "it was reset"
+	reasonClosedByPeer   logReason = "its host closed it"
+	reasonNoAnswer       logReason = "no connection was made in time"
+	reasonLocalFailure   logReason = "this placer could not dial"
+
+	// Reasons why a connection of an owner was closed.
+	reasonUnusableMessage logReason = "a message cannot be used"
+	reasonNoValidMessage  logReason = "no valid message came in time"
+	reasonTooManyInvalid  logReason = "too many requests are malformed"
+	reasonRefInUse        logReason = "a ref was used for two requests"
+
+	// Reasons why a request was rejected or failed.
+	reasonBusy            logReason = "this placer has too much to do"
+	reasonNoTimeLeft      logReason = "no time is left"
+	reasonMalformed       logReason = "it is malformed"
+	reasonOwnerClosed     logReason = "the connection of its owner was closed"
+	reasonPolicy          logReason = "the policy decided so"
+	reasonEndedUnanswered logReason = "its task ended before the answer"
+	reasonMayHaveRun      logReason = "it was sent again and may have run"
+
 	// Reasons why an end counts as confirmed. The last two are no proof.
 	reasonHostReleased        logReason = "its host released it"
 	reasonStopAcknowledged    logReason = "its host acknowledged a stop"
@@ -60,12 +96,17 @@
 // Keys of log attributes.
 const (
 	keyPlacedRef  = "placed_ref" // ref under which the host already runs the task
+	keyAddress    = "address"
 	keyBytes      = "bytes"
+	keyCause      = "cause"      // cause of a release on the wire
 	keyConnection = "connection" // ConnectionID, as in a trace
 	keyError      = "error"
-	keyHost       = "host" // name of the host, as in the endpoint list
+	keyHost       = "host"  // name of the host, as in the endpoint list
+	keyOwner      = "owner" // OwnerID of a connection, as in a trace
 	keyReason     = "reason"
 	keyRef        = "ref"      // ref of the placement request on the wire
+	keyResult     = "result"   // result of an attempt
+	keyState      = "state"    // state in the endpoint list, as on the wire
 	keyTask       = "task"     // forkhead.TaskID of the placement request at this placer
 	keyTaskKey    = "task_key" // identity of the task that its owner assigned
 	keyTasks      = "tasks"    // number of tasks concerned
@@ -104,4 +145,26 @@
 func refAttr(ref requestRef) slog.Attr         { return slog.String(keyRef, string(ref)) }
 func connectionAttr(id ConnectionID) slog.Attr { return slog.Uint64(keyConnection, uint64(id)) }
 func reasonAttr(reason logReason) slog.Attr    { return slog.String(keyReason, string(reason)) }
+func ownerAttr(id OwnerID) slog.Attr           { return slog.Uint64(keyOwner, uint64(id)) }
 func errorAttr(err error) slog.Attr            { return slog.Any(keyError, err) }
+
+// resultNames are the values of keyResult.
+var resultNames = map[forkhead.Result]string{
+	forkhead.OK:            "ended",
+	forkhead.Errored:       "error",
+	forkhead.Rejected:      "rejected",
+	forkhead.TimedOut:      "timed out",
+	forkhead.ConnectFailed: "no connection",
+	forkhead.Reset:         "lost",
+	forkhead.Withdrawn:     "withdrawn",
+	forkhead.NotSent:       "not sent",
+}
+
+// logRejected logs the rejection of a request that was not passed to the module, or that the module rejected.
+func (c *Core) logRejected(ref requestRef, reason logReason) {
+	c.logInfo(messageRequestRejected, refAttr(ref), reasonAttr(reason))
+}
+
+func (c *Core) logFailed(ref requestRef, reason logReason) {
+	c.logInfo(messageRequestFailed, refAttr(ref), reasonAttr(reason))
+}
--- a/internal/scheduler/platform/owner.go
+++ b/internal/scheduler/platform/owner.go
@@ -95,7 +95,7 @@
 	if owner == nil {
 		return false
 	}
-	c.closeOwner(owner)
+	c.closeOwner(owner, reasonEvicted)
 	return true
 }
 
@@ -110,12 +110,13 @@
 	return first
 }
 
-// closeOwner fails the open requests of a connection and closes it.
-func (c *Core) closeOwner(owner *ownerConnection) {
+// closeOwner fails the open requests of a connection, closes it and logs the reason.
+func (c *Core) closeOwner(owner *ownerConnection, reason logReason) {
+	c.logInfo(messageOwnerClosed, ownerAttr(owner.id), reasonAttr(reason))
 	for _, r := range owner.requestsInOrder() {
 		c.notifyModule(forkhead.RequestCanceled{Task: r.id})
 		c.withdrawAll(r, forkhead.Withdrawn, true)
-		c.failRequest(r.id)
+		c.failRequest(r.id, reasonOwnerClosed)
 	}
 	delete(c.owners, owner.id)
 	c.emit(CloseOwnerConnection{owner.id})
@@ -130,6 +131,7 @@
 	}
 	delete(c.owners, owner.id)
 	if input.Reset {
+		c.logInfo(messageOwnerReset, ownerAttr(owner.id))
 		c.sendAgain(owner.notices)
 	}
 	for _, r := range owner.requestsInOrder() {
@@ -175,7 +177,7 @@
 	}
 	slices.SortFunc(late, func(a, b *ownerConnection) int { return cmp.Compare(a.id, b.id) })
 	for _, owner := range late {
-		c.closeOwner(owner)
+		c.closeOwner(owner, reasonNoValidMessage)
 	}
 }
 
--- a/internal/scheduler/platform/ownermessages.go
+++ b/internal/scheduler/platform/ownermessages.go
@@ -18,7 +18,7 @@
 		return nil
 	})
 	if err != nil && c.owners[owner.id] == owner {
-		c.closeOwner(owner)
+		c.closeOwner(owner, reasonUnusableMessage)
 	}
 }
 
@@ -41,7 +41,7 @@
 		owner.removeNotice(requestRef(m.Ref))
 	case platform.TypeProgress:
 	default:
-		c.closeOwner(owner)
+		c.closeOwner(owner, reasonUnusableMessage)
 	}
 }
 
@@ -53,14 +53,15 @@
 		c.rejectMalformed(owner, ref)
 		return
 	}
-	c.closeOwner(owner)
+	c.closeOwner(owner, reasonUnusableMessage)
 }
 
 // rejectMalformed answers a malformed request. A connection that sends too many of them is closed.
 func (c *Core) rejectMalformed(owner *ownerConnection, ref requestRef) {
+	c.logRejected(ref, reasonMalformed)
 	c.emit(SendToOwner{owner.id, releaseMessage(ref, platform.CauseFailed)})
 	if owner.malformedRequests++; owner.malformedRequests > maxMalformedRequests {
-		c.closeOwner(owner)
+		c.closeOwner(owner, reasonTooManyInvalid)
 	}
 }
 
@@ -72,7 +73,7 @@
 	switch {
 	case r == nil:
 		if !owner.sentValid { // a release of an unknown ref is not valid as the first message of a connection
-			c.closeOwner(owner)
+			c.closeOwner(owner, reasonUnusableMessage)
 		}
 	case r.phase != requestOpen:
 		c.beginStop(r)
@@ -92,7 +93,7 @@
 	}
 	switch {
 	case !ok && known != nil && known.owner == owner.id:
-		c.closeOwner(owner) // the owner would take a rejection under this ref as the answer to the known request
+		c.closeOwner(owner, reasonRefInUse) // the owner would take a rejection under this ref as the answer to the known request
 	case !ok:
 		c.rejectMalformed(owner, ref)
 	case known != nil:
@@ -113,11 +114,19 @@
 	}
 	decoded.task.Timeout -= owner.dataAge
 	fields := forwardedFields(m, c.settings.Classes[decoded.task.Class].Effect)
-	if c.isBusy(owner, requestSize(m.Description, fields)) || decoded.task.Timeout < minRequestTimeout {
-		c.emit(SendToOwner{owner.id, releaseMessage(decoded.ref, platform.CauseBusy)})
-		return
+	switch {
+	case c.isBusy(owner, requestSize(m.Description, fields)):
+		c.rejectBusy(owner, decoded.ref, reasonBusy)
+	case decoded.task.Timeout < minRequestTimeout:
+		c.rejectBusy(owner, decoded.ref, reasonNoTimeLeft)
+	default:
+		c.openRequest(owner, decoded, m.Description, fields)
 	}
-	c.openRequest(owner, decoded, m.Description, fields)
+}
+
+func (c *Core) rejectBusy(owner *ownerConnection, ref requestRef, reason logReason) {
+	c.logRejected(ref, reason)
+	c.emit(SendToOwner{owner.id, releaseMessage(ref, platform.CauseBusy)})
 }
 
 // handleKnownRef handles a request or hand-over whose ref belongs to a known request.
@@ -138,7 +147,7 @@
 		}
 		owner.recordRequest()
 	case r.owner == owner.id:
-		c.closeOwner(owner)
+		c.closeOwner(owner, reasonRefInUse)
 	default:
 		c.rejectMalformed(owner, decoded.ref)
 	}
--- a/internal/scheduler/platform/reconcile.go
+++ b/internal/scheduler/platform/reconcile.go
@@ -37,7 +37,7 @@
 func (c *Core) closeHalfClosed() {
 	for _, conn := range slices.Clone(c.halfClosed) {
 		if c.now > conn.halfClosedAt+halfClosedTimeout {
-			c.closeConnection(conn)
+			c.closeConnection(conn, reasonHalfClosedLong)
 		}
 	}
 }
@@ -47,7 +47,7 @@
 func (c *Core) reconcileConnection(conn *hostConnection) {
 	switch {
 	case conn.reader.isStuck(c.now, hostLineTimeout):
-		c.closeFaultyConnection(conn, reasonPartialLine)
+		c.closeConnection(conn, reasonPartialLine)
 	case conn.isIdle() && c.config.IdleTimeout > 0 && c.now > conn.lastUsedAt()+c.idleTimeout():
 		c.closeIdle(conn)
 	}
@@ -64,7 +64,7 @@
 	switch {
 	case !conn.isNeeded():
 		if !h.isReplacing() || !h.hasPlacedTasks() { // if this is false, closeSuperseded closes conn once its replacement is open
-			c.halfClose(conn)
+			c.halfClose(conn, reasonIdle)
 		}
 	case c.settings.MayProbe:
 		// A draining host accepts no new connection and reports the ends of its tasks on this one.
--- a/internal/scheduler/platform/request.go
+++ b/internal/scheduler/platform/request.go
@@ -124,14 +124,16 @@
 	}
 	if !c.checkAnswerOrWithdraw(r, attempt.AnsweredRejected) {
 		c.answer(r, attempt.AnsweredFailed, releaseMessage(r.ref, platform.CauseFailed))
+		c.logFailed(r.ref, reasonMayHaveRun)
 		return
 	}
 	c.answer(r, attempt.AnsweredRejected, rejectMessage(r.ref, action.RetryAfter))
+	c.logRejected(r.ref, reasonPolicy)
 }
 
 // failRequest answers an open request as failed, which states nothing about whether its task ran. failRequest also
 // executes the module's Fail.
-func (c *Core) failRequest(id forkhead.TaskID) {
+func (c *Core) failRequest(id forkhead.TaskID, reason logReason) {
 	r := c.requests[id]
 	if r == nil || r.phase != requestOpen {
 		return
@@ -139,6 +141,7 @@
 	// The result is not needed: if attempts in flight forbid the failure, checkAnswerOrWithdraw withdraws them.
 	c.checkAnswerOrWithdraw(r, attempt.AnsweredFailed)
 	c.answer(r, attempt.AnsweredFailed, releaseMessage(r.ref, platform.CauseFailed))
+	c.logFailed(r.ref, reason)
 }
 
 // checkAnswerOrWithdraw reports whether an open request may now be given the answer. If not, it logs the violation and
@@ -203,7 +206,7 @@
 	if r.phase == requestOpen && c.now >= r.lifecycle.Deadline {
 		c.logViolation(messageNoAnswer, taskAttr(id))
 		c.notifyModule(forkhead.RequestCanceled{Task: id})
-		c.failRequest(id)
+		c.failRequest(id, reasonExpired)
 	}
 }
 
--- a/internal/scheduler/platform/request_test.go
+++ b/internal/scheduler/platform/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -101,10 +102,12 @@
 	out := w.step()
 	w.wantLines(sentLines[SendToOwner](out), "down "+ref1+" 47")
 	w.wantLines(sentLines[SendToHost](out))
+	var messages []string
 	for _, l := range ofType[Log](out) {
-		if l.Message != messageEndUnconfirmed {
-			t.Errorf("answer with an attempt in flight: logged %s, want only that the end is unconfirmed", l)
-		}
+		messages = append(messages, l.Message)
+	}
+	if want := []string{messageEndUnconfirmed, messageRequestFailed}; !slices.Equal(messages, want) {
+		t.Errorf("answer with an attempt in flight: logged %q, want %q", messages, want)
 	}
 	w.wantLines(sentLines[SendToHost](w.step(fromHost(conn, boundLine(ref1)))), "down "+ref1+" 16")
 }
@@ -117,8 +120,9 @@
 	w.now += 1500 * time.Millisecond
 	out := w.step()
 	w.wantLines(sentLines[SendToOwner](out), "down "+ref1+" 47")
-	if logged := ofType[Log](out); len(logged) != 1 || !logged[0].InvariantViolation || logged[0].Message != messageNoAnswer {
-		t.Errorf("at the deadline: logged %v, want one invariant violation with message %q", logged, messageNoAnswer)
+	logged := ofType[Log](out)
+	if len(logged) != 2 || !logged[0].InvariantViolation || logged[0].Message != messageNoAnswer || logged[1].Message != messageRequestFailed {
+		t.Errorf("at the deadline: logged %v, want one invariant violation with message %q and then %q", logged, messageNoAnswer, messageRequestFailed)
 	}
 }
 
--- a/internal/scheduler/platform/undelivered.go
+++ b/internal/scheduler/platform/undelivered.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"time"
+
+	"forkhead/internal/protocol/platform"
 )
 
 // The protocol binds no placed task to a connection, and a message to an owner names none. If the connection that a
@@ -36,11 +39,16 @@
 		c.addUndelivered(m)
 		return false
 	}
+	c.logEndSent(owner, r.ref, end.cause)
 	c.emit(SendToOwner{owner.id, line})
 	owner.addNotice(sentNotice{m, end})
 	return true
 }
 
+func (c *Core) logEndSent(owner *ownerConnection, ref requestRef, cause platform.Cause) {
+	c.logInfo(messageEndSent, refAttr(ref), ownerAttr(owner.id), slog.Int(keyCause, int(cause)))
+}
+
 // addNotice keeps a message that was sent on the connection, and drops those that the owner has received for certain, or
 // the oldest beyond maxNotices.
 func (o *ownerConnection) addNotice(notice sentNotice) {
@@ -98,6 +106,7 @@
 func (c *Core) deliver(m *undeliveredMessage, owner *ownerConnection) {
 	m.isDelivered = true
 	c.deliveredReleases.add(deliveredRelease{owner.id, m.ref})
+	c.logEndSent(owner, m.ref, platform.NoCause)
 	c.emit(SendToOwner{owner.id, m.line})
 }
 
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -126,7 +126,7 @@
 	case h.isLost(unresponsiveFor):
 		c.endLostTasks(h, reasonUnresponsive)
 		for _, conn := range slices.Clone(h.connections) {
-			c.closeConnection(conn)
+			c.closeConnection(conn, reasonUnresponsive)
 		}
 	case h.isDialing():
 	case c.now < h.redialAt && !h.needsLastDial(unresponsiveFor):
--- a/internal/verify/platformreplay/replay_test.go
+++ b/internal/verify/platformreplay/replay_test.go
@@ -198,6 +198,9 @@
 	}
 }
 
+const connectionOpenedLog = `platform.Log {"Attributes":{"address":"10.0.0.1:1","connection":1,"host":"s-00000001"},` +
+	`"InvariantViolation":false,"Level":"INFO","Message":"connection to a host opened"}`
+
 // goldenTraces are traces that earlier builds wrote, with the fixed test module. The core has changed on purpose since the
 // older ones: each names the first output that differs. The newest replays without a difference. An intended change of
 // the core needs a further trace, not a new version of one.
@@ -206,8 +209,9 @@
 	step int    // step of the first difference; 0: there is none
 	got  string // first output of this build in that step
 }{
-	{"trace.jsonl", 50, "platform.CloseListener {}"}, // requests were accepted for 800 ms after a shutdown request, now for 650 ms
-	{"trace-2.jsonl", 0, ""},
+	{"trace.jsonl", 4, connectionOpenedLog}, // opened connections to hosts have had no log line before
+	{"trace-2.jsonl", 4, connectionOpenedLog},
+	{"trace-3.jsonl", 0, ""},
 }
 
 // Traces that earlier builds wrote replay up to the first intended difference. With -update, the test writes a file only
