--- a/internal/emulator/platformmodel/emulator.go
+++ b/internal/emulator/platformmodel/emulator.go
@@ -318,6 +318,12 @@
 // resets the connection.
 func (e *Emulator) handleAccepted(in Accepted) {
 	listener := e.listeners[in.Listener]
+	if listener != nil && listener.party.host != nil && listener.party.host.hung {
+		l := e.addLink(in.Conn, listener.party, in.Placer)
+		l.dead = true
+		e.record(RecordOpened, l, nil)
+		return
+	}
 	if listener == nil || listener.party.model == nil || listener != listener.party.listener {
 		e.emit(ResetConnection{in.Conn})
 		return
@@ -349,6 +355,9 @@
 	}
 	e.record(RecordClosedByPlacer, l, nil)
 	if l.dead {
+		if l.party.active[FaultConnectionsDead] > 0 {
+			l.party.host.unnoticed = append(l.party.host.unnoticed, l)
+		}
 		e.endLink(l, ResetConnection{l.id})
 		return
 	}
--- a/internal/emulator/platformmodel/faults.go
+++ b/internal/emulator/platformmodel/faults.go
@@ -34,6 +34,9 @@
 	FaultIdleClosed                       // acts once: the target closes its connections without undecided offers
 	FaultListedRemoved                    // the endpoint log has the target as terminated, although its process runs
 	FaultOmitted                          // a snapshot of the endpoint log leaves the target out, although its process runs
+	FaultAddressTaken                     // the target's process is killed, and another host takes its address at once; the end lists the target as terminated
+	FaultHung                             // the target's process hangs and its tasks end; its port still accepts; the end restarts it
+	FaultConnectionsDead                  // every second connection passes nothing, not even a close, until the fault ends; new ones work
 	faultTypeCount
 )
 
@@ -41,7 +44,7 @@
 var faultNames = [faultTypeCount]string{
 	"late", "silent", "half-open", "reset", "spoilt", "doubled", "reordered", "unread", "refused", "clock skew", "mass kill",
 	"mass restart", "zone partition", "host replaced", "host readdressed", "mass hand-over", "sequence restart",
-	"idle closed", "listed removed", "omitted",
+	"idle closed", "listed removed", "omitted", "address taken", "hung", "connections dead",
 }
 
 // String returns the name of the type.
--- a/internal/emulator/platformmodel/faults_test.go
+++ b/internal/emulator/platformmodel/faults_test.go
@@ -178,6 +178,9 @@
 		{Fault{Type: FaultZonePartition, Target: zoneA}, checkZonePartition},
 		{Fault{Type: FaultHostReplaced, Target: host0}, checkHostReplaced},
 		{Fault{Type: FaultHostReaddressed, Target: host0}, checkHostReaddressed},
+		{Fault{Type: FaultAddressTaken, Target: host0}, checkAddressTaken},
+		{Fault{Type: FaultHung, Target: host0}, checkHung},
+		{Fault{Type: FaultConnectionsDead, Target: host0}, checkConnectionsDead},
 	} {
 		t.Run(c.fault.Type.String(), func(t *testing.T) {
 			c.fault.At, c.fault.Duration = second, 2*second
@@ -344,6 +347,61 @@
 	}
 }
 
+func checkAddressTaken(r *emulatorRig, conn, other ConnID) {
+	r.wantReset(conn, true)
+	r.wantReset(other, false)
+	r.wantListener(1, "open")
+	again := r.connect(1)
+	r.probe(again, 1)
+	r.wantProbesAnswered(again, 1)
+	r.advanceTo(3*second - 1)
+	before, after := r.lastEntry("s-00000001"), r.lastEntry("s-00000003")
+	if before.State != platform.InService || after.State != platform.InService || before.Address != after.Address {
+		r.t.Errorf("got entries %+v of the killed and %+v of the new host, want both in service at one address", before, after)
+	}
+	r.advanceTo(3 * second)
+	if got := r.lastEntry("s-00000001").State; got != platform.Terminated {
+		r.t.Errorf("entry of the killed host after the fault has state %s, want %s", got, platform.Terminated)
+	}
+}
+
+func checkHung(r *emulatorRig, conn, other ConnID) {
+	later := r.connect(1)
+	r.probe(conn, 1)
+	r.probe(later, 1)
+	r.probe(other, 1)
+	r.wantProbesAnswered(other, 1)
+	r.wantListener(1, "open")
+	r.advanceTo(3*second - 1)
+	r.wantProbesAnswered(conn)
+	r.wantProbesAnswered(later)
+	r.wantReset(conn, false)
+	if got := r.lastEntry("s-00000001").State; got != platform.InService {
+		r.t.Errorf("entry of the host that hangs has state %s, want %s", got, platform.InService)
+	}
+	r.advanceTo(3 * second)
+	r.wantReset(conn, true)
+	r.wantReset(later, true)
+	again := r.connect(1)
+	r.probe(again, 1)
+	r.wantProbesAnswered(again, 1)
+}
+
+func checkConnectionsDead(r *emulatorRig, conn, other ConnID) {
+	later := r.connect(1)
+	r.probe(conn, 1)
+	r.probe(later, 1)
+	r.probe(other, 1)
+	r.wantProbesAnswered(conn)
+	r.wantProbesAnswered(later, 1)
+	r.wantProbesAnswered(other, 1)
+	r.advanceTo(3*second - 1)
+	r.wantReset(conn, false)
+	r.advanceTo(3 * second)
+	r.wantReset(conn, true)
+	r.wantReset(later, false)
+}
+
 // A host whose clock is ahead is listed with a later start time.
 func TestInjectorClockSkewShiftsReportedStartTime(t *testing.T) {
 	r := newEmulatorRig(t, Fault{Duration: 5 * second, Type: FaultClockSkew, Target: host0, Amount: 7 * second},
--- a/internal/emulator/platformmodel/injectors.go
+++ b/internal/emulator/platformmodel/injectors.go
@@ -52,6 +52,9 @@
 		FaultSequenceRestart: {[]PartyKind{EndpointLogParty}, (*Emulator).beginSequenceRestart, nil},
 		FaultIdleClosed:      {onlyHosts, (*Emulator).beginIdleClosed, nil},
 		FaultListedRemoved:   {onlyHosts, (*Emulator).beginListedRemoved, (*Emulator).endListedRemoved},
+		FaultAddressTaken:    {onlyHosts, (*Emulator).beginAddressTaken, (*Emulator).endAddressTaken},
+		FaultHung:            {onlyHosts, (*Emulator).beginHung, (*Emulator).endHung},
+		FaultConnectionsDead: {onlyHosts, (*Emulator).beginConnectionsDead, (*Emulator).endConnectionsDead},
 		FaultOmitted:         {onlyHosts, (*Emulator).beginOmitted, (*Emulator).endOmitted},
 	}[t]
 }
@@ -187,3 +190,68 @@
 	p.host.published = platform.Endpoint{}
 	e.publish(p)
 }
+
+// beginAddressTaken kills the process of a host and starts another host at its address. The entry of the killed host
+// stays in the endpoint list until the fault ends.
+func (e *Emulator) beginAddressTaken(_ *Fault, p *party) {
+	if p.model == nil {
+		return
+	}
+	p.host.former = append(p.host.former, p.host.published)
+	e.killHost(p)
+	e.lastHostNumber++
+	p.host.name, p.host.published = hostName(e.lastHostNumber), platform.Endpoint{}
+	e.startHost(p)
+}
+
+// endAddressTaken publishes the former hosts at the address as terminated.
+func (e *Emulator) endAddressTaken(_ *Fault, p *party) {
+	for _, entry := range p.host.former {
+		entry.State = platform.Terminated
+		e.execute(e.logParty, e.log.Publish(e.now, entry))
+	}
+	p.host.former = nil
+}
+
+// beginHung ends the tasks of a host. Its connections stay open and pass nothing.
+func (e *Emulator) beginHung(_ *Fault, p *party) {
+	if p.model == nil {
+		return
+	}
+	p.host.hung = true
+	for _, l := range p.links {
+		l.dead = true
+	}
+	e.endIncarnation(p)
+}
+
+// endHung restarts the process of a host.
+func (e *Emulator) endHung(_ *Fault, p *party) {
+	if !p.host.hung {
+		return
+	}
+	p.host.hung = false
+	e.resetDeadLinks(p)
+	e.startHost(p)
+}
+
+// beginConnectionsDead marks every second connection as dead. Neither side is notified.
+func (e *Emulator) beginConnectionsDead(f *Fault, p *party) {
+	p.active[f.Type]++
+	for i, l := range p.sortedLinks() {
+		l.dead = l.dead || i%2 == 0
+	}
+}
+
+// endConnectionsDead resets the dead connections, also those that the placer has closed meanwhile.
+func (e *Emulator) endConnectionsDead(f *Fault, p *party) {
+	p.active[f.Type]--
+	if p.host.machineLost || p.host.hung || p.active[FaultHalfOpen] > 0 {
+		return
+	}
+	e.resetDeadLinks(p)
+	for _, l := range p.host.unnoticed {
+		e.notifyModelClosed(l, true)
+	}
+	p.host.unnoticed = nil
+}
--- a/internal/emulator/platformmodel/parties.go
+++ b/internal/emulator/platformmodel/parties.go
@@ -23,11 +23,14 @@
 type hostState struct {
 	spec        HostSpec
 	name        string
-	incarnation int               // number of the current or latest incarnation, from 1
-	startedAtMS float64           // start of the incarnation by the host's clock; 0: long ago
-	clockSkew   time.Duration     // offset of the host's clock
-	machineLost bool              // the machine has been removed without closing its connections
-	published   platform.Endpoint // latest entry in the endpoint list
+	incarnation int                 // number of the current or latest incarnation, from 1
+	startedAtMS float64             // start of the incarnation by the host's clock; 0: long ago
+	clockSkew   time.Duration       // offset of the host's clock
+	machineLost bool                // the machine has been removed without closing its connections
+	hung        bool                // the process accepts connections and does nothing else
+	published   platform.Endpoint   // latest entry in the endpoint list
+	former      []platform.Endpoint // entries of killed hosts whose address this one has taken, while these are listed
+	unnoticed   []*link             // dead connections whose close by the placer the host has not noticed
 }
 
 // listenerState is the behavior of a listener towards new connections.
@@ -61,6 +64,8 @@
 	switch {
 	case p.active[FaultHalfOpen] > 0 || p.active[FaultZonePartition] > 0 || p.host != nil && p.host.machineLost:
 		return listenerStopped
+	case p.host != nil && p.host.hung:
+		return listenerOpen
 	case p.model == nil || p.active[FaultRefused] > 0:
 		return listenerClosed
 	default:
@@ -95,7 +100,7 @@
 // startHost starts the next incarnation of a host. It does nothing if the host is up or its machine is lost.
 func (e *Emulator) startHost(p *party) {
 	h := p.host
-	if p.model != nil || h.machineLost {
+	if p.model != nil || h.machineLost || h.hung {
 		return
 	}
 	cold := h.incarnation > 0 || h.spec.Cold
@@ -153,9 +158,14 @@
 		Name: p.host.name, Address: p.listener.address, Zone: spec.Zone, MachineType: spec.MachineType, Cell: spec.Cell,
 		State: platform.Terminated, StartedAtMS: p.host.startedAtMS, Available: []float64{spec.Config.Cores, spec.Config.Memory},
 	}
-	if h, up := p.model.(*Host); up && p.active[FaultListedRemoved] == 0 {
+	h, up := p.model.(*Host)
+	switch {
+	case p.active[FaultListedRemoved] > 0:
+	case up:
 		cores, memory := h.Available()
 		e.State, e.Available = platform.InService, []float64{cores, memory}
+	case p.host.hung:
+		e.State = platform.InService
 	}
 	return e
 }
