platform: a host whose address another has is gone, whatever the list still says of it

Seen by callers: a host's process dies and another host listens at its address at once.

Cause: an accepted dial counted as a sign of the host's life, and any process at the address accepts. Who else is at an address was asked only of removed hosts, by a walk over all hosts.

Fix: two processes cannot listen at one address, so the host that came there last shows that the earlier one has gone. The core keeps the host that came last to each address (one look-up in place of the walk). The earlier one counts as removed, for the module too; its tasks are released after the grace of removed hosts and count until proved; nothing is dialed under its name. One list that brings both goes by their stated starts; equal starts supersede neither.

--- a/internal/scheduler/platform/connection.go
+++ b/internal/scheduler/platform/connection.go
@@ -111,9 +111,9 @@
 
 // ---- Dialing.
 
-// dial dials a host and returns the new connection, or nil if no connection slot is free.
+// dial dials a host and returns the new connection, or nil if no connection slot is free or another host has the address.
 func (c *Core) dial(h *host, purpose connectionPurpose) *hostConnection {
-	if !c.acquireHostSlot(h) {
+	if c.hasSuccessor(h) || !c.acquireHostSlot(h) {
 		return nil
 	}
 	c.lastConnection++
@@ -130,7 +130,7 @@
 		return
 	}
 	h := conn.host
-	c.logInfo(messageConnectionOpened, hostAttr(h.name), connectionAttr(conn.id), slog.String(keyAddress, h.address))
+	c.logInfo(messageConnectionOpened, hostAttr(h.name), connectionAttr(conn.id), addressAttr(h.address))
 	conn.state, conn.lastSentAt, conn.lastReceivedAt = connectionOpen, c.now, c.now
 	h.lastSeenAliveAt, h.redialBackoff, h.refusedDials = c.now, 0, 0
 	h.wasReset = false
--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -44,9 +44,12 @@
 	closed      closedRequests
 
 	hosts          map[forkhead.MachineID]*host
-	sortedHosts    []*host // hosts ordered by id; nil: hostsInOrder must rebuild it
-	unlistedHosts  int     // number of hosts that the endpoint list does not have yet
-	listSequence   uint64  // sequence number of the last watch event
+	sortedHosts    []*host              // hosts ordered by id; nil: hostsInOrder must rebuild it
+	occupants      map[string]occupancy // by address in the endpoint list
+	superseded     []*host              // hosts that the list which is being applied has superseded
+	listNumber     uint64               // number of the list that is being applied
+	unlistedHosts  int                  // number of hosts that the endpoint list does not have yet
+	listSequence   uint64               // sequence number of the last watch event
 	connections    map[ConnectionID]*hostConnection
 	halfClosed     []*hostConnection // half-closed members of connections, oldest first
 	lastConnection ConnectionID
@@ -81,6 +84,7 @@
 		owners:            map[OwnerID]*ownerConnection{},
 		closed:            newClosedRequests(),
 		hosts:             map[forkhead.MachineID]*host{},
+		occupants:         map[string]occupancy{},
 		connections:       map[ConnectionID]*hostConnection{},
 	}, nil
 }
--- a/internal/scheduler/platform/endpoints.go
+++ b/internal/scheduler/platform/endpoints.go
@@ -45,6 +45,8 @@
 // applyList applies a snapshot or a delta of the endpoint list and returns its entries for the module.
 func (c *Core) applyList(list *platform.EndpointList) []forkhead.Machine {
 	var entries []forkhead.Machine
+	c.listNumber++
+	c.superseded = c.superseded[:0]
 	listed := map[forkhead.MachineID]bool{}
 	for i := range list.Hosts {
 		endpoint := &list.Hosts[i]
@@ -65,6 +67,9 @@
 	if list.Snapshot {
 		c.removeMissing(listed)
 	}
+	for _, h := range c.superseded {
+		entries = append(entries, h.entry)
+	}
 	return entries
 }
 
@@ -72,9 +77,7 @@
 func (c *Core) removeMissing(listed map[forkhead.MachineID]bool) {
 	for _, h := range c.hostsInOrder() {
 		if !listed[h.id] && h.entry.State != forkhead.Removed && h.unlistedSince == 0 {
-			entry := h.entry
-			entry.State = forkhead.Removed
-			c.updateHost(h, entry, h.address)
+			c.updateHost(h, h.removedEntry(), h.address)
 		}
 	}
 }
@@ -158,6 +161,10 @@
 		h.unlistedSince = 0
 		c.unlistedHosts--
 	}
+	if address == "" {
+		address = h.address
+	}
+	entry.State = c.claimAddress(h, entry, address)
 	entry = c.reconcileEntry(h, entry)
 	c.logHostChange(h, entry, stated, address)
 	if entry.State != forkhead.Ready && (h.entry.State == forkhead.Ready || h.drainingSince == 0) {
@@ -172,12 +179,10 @@
 	if isRestart {
 		c.handleHostRestart(h, entry.StartedAt)
 	}
-	if entry.State == forkhead.Removed || address != "" && address != h.address {
+	if entry.State == forkhead.Removed || address != h.address {
 		c.closeOutdatedConnections(h, entry.State)
 	}
-	if address != "" {
-		h.address = address
-	}
+	h.address = address
 	h.setEntry(entry)
 }
 
@@ -185,10 +190,10 @@
 // available capacity, which are too many.
 func (c *Core) logHostChange(h *host, entry forkhead.Machine, stated time.Duration, address string) {
 	isInitial := c.config.InitialEvents != nil
-	if isInitial || h.address != "" && entry.State == h.entry.State && stated == h.statedStart && (address == "" || address == h.address) {
+	if isInitial || h.address != "" && entry.State == h.entry.State && stated == h.statedStart && address == h.address {
 		return
 	}
-	c.logInfo(messageHostChanged, hostAttr(h.name), slog.String(keyState, string(stateNames[entry.State])), slog.String(keyAddress, address))
+	c.logInfo(messageHostChanged, hostAttr(h.name), slog.String(keyState, string(stateNames[entry.State])), addressAttr(address))
 }
 
 // handleHostRestart ends the tasks of a host's earlier incarnation and resets its redial backoff. The end of an
--- a/internal/scheduler/platform/host.go
+++ b/internal/scheduler/platform/host.go
@@ -19,6 +19,7 @@
 	entry         forkhead.Machine // entry in the endpoint list
 	invariantView invariant.Host   // entry in the form that package invariant checks
 	statedStart   time.Duration    // start of the host's incarnation as the endpoint list states it, by another machine's clock
+	isSuperseded  bool             // another host has its address, and the endpoint list has not removed it yet
 	unlistedSince time.Duration    // time of the hand-over that added the host; 0: the endpoint list has it
 	drainingSince time.Duration    // time since which the endpoint list has not had the host as ready
 	removedAt     time.Duration    // time since which the endpoint list has had the host as removed
--- a/internal/scheduler/platform/log.go
+++ b/internal/scheduler/platform/log.go
@@ -13,6 +13,7 @@
 const (
 	messageTasksLost         = "tasks lost with their host"
 	messageHostChanged       = "host of the endpoint list changed"
+	messageHostSuperseded    = "host has gone, another has its address"
 	messageConnectionOpened  = "connection to a host opened"
 	messageConnectionClosed  = "connection to a host closed"
 	messageConnectionEnded   = "connection to a host ended"
@@ -145,6 +146,7 @@
 func refAttr(ref requestRef) slog.Attr         { return slog.String(keyRef, string(ref)) }
 func connectionAttr(id ConnectionID) slog.Attr { return slog.Uint64(keyConnection, uint64(id)) }
 func reasonAttr(reason logReason) slog.Attr    { return slog.String(keyReason, string(reason)) }
+func addressAttr(address string) slog.Attr     { return slog.String(keyAddress, address) }
 func ownerAttr(id OwnerID) slog.Attr           { return slog.Uint64(keyOwner, uint64(id)) }
 func errorAttr(err error) slog.Attr            { return slog.Any(keyError, err) }
 
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -81,19 +81,6 @@
 	}
 }
 
-// isGone reports whether the endpoint list has had a host as removed for removedGrace and the host shows no sign of life.
-// What answers at its address is no sign of life if the list has another host there.
-func (c *Core) isGone(h *host) bool {
-	return h.entry.State == forkhead.Removed && c.now > h.removedAt+removedGrace && (!h.isAliveAfterRemoval() || c.hasOtherHostAt(h))
-}
-
-// hasOtherHostAt reports whether the endpoint list has another host at a host's address.
-func (c *Core) hasOtherHostAt(h *host) bool {
-	return slices.ContainsFunc(c.hostsInOrder(), func(other *host) bool {
-		return other != h && other.address == h.address && other.entry.State != forkhead.Removed
-	})
-}
-
 // isAliveAfterRemoval reports whether a host that the endpoint list has as removed has sent something since then, on a
 // connection that is still open. Such a list is wrong, or early.
 func (h *host) isAliveAfterRemoval() bool {
