platform: only a host's own message shows that it is alive, not an accepted connection

Cause: each completed dial counted as a sign of life, and one message after the removal kept a removed host alive as long as any connection was open. A kernel accepts for a process that hangs.

Fix: one type, liveness, says what is evidence (a readable message on a connection that was dialed while the list had the host) and what only says that something is reachable; the loss of tasks, removed hosts, redials and probes ask it. Where hosts may be probed, one that says nothing for 2.5 s is probed each second on its open connections, and is lost after 7.5 s of silence with 4.5 s of questions unanswered. Where they may not, being reachable has to do as before. A placer that was stopped asks before it judges.

Tests: four tests set the renamed field.

--- a/internal/scheduler/platform/addresses.go
+++ b/internal/scheduler/platform/addresses.go
@@ -110,5 +110,5 @@
 // isGone reports whether the endpoint list has had a host as removed for removedGrace and the host shows no sign of life.
 // What answers at its address is no sign of life if another host has the address.
 func (c *Core) isGone(h *host) bool {
-	return h.entry.State == forkhead.Removed && c.now > h.removedAt+removedGrace && (!h.isAliveAfterRemoval() || c.hasSuccessor(h))
+	return h.entry.State == forkhead.Removed && c.now > h.removedAt+removedGrace && (!h.isAliveAfterRemoval(c.now) || c.hasSuccessor(h))
 }
--- a/internal/scheduler/platform/bench_test.go
+++ b/internal/scheduler/platform/bench_test.go
@@ -37,7 +37,7 @@
 	for b.Loop() {
 		w.now += reconcileInterval
 		for _, h := range w.core.hosts {
-			h.lastSeenAliveAt = w.now
+			h.liveness.reachableAt = w.now
 		}
 		w.step()
 	}
--- a/internal/scheduler/platform/connection.go
+++ b/internal/scheduler/platform/connection.go
@@ -35,6 +35,8 @@
 	purpose        connectionPurpose
 	halfClosedAt   time.Duration
 	reader         lineReader
+	openedAt       time.Duration
+	isVouchedFor   bool // it was dialed while the endpoint list had the host, so what comes on it is from the host
 	lastReceivedAt time.Duration
 	lastSentAt     time.Duration  // time of the last offer, probe, dial or connect
 	inFlight       int            // number of offers sent and not answered
@@ -117,7 +119,7 @@
 		return nil
 	}
 	c.lastConnection++
-	conn := &hostConnection{id: c.lastConnection, host: h, purpose: purpose, lastSentAt: c.now}
+	conn := &hostConnection{id: c.lastConnection, host: h, purpose: purpose, lastSentAt: c.now, isVouchedFor: h.entry.State != forkhead.Removed}
 	c.connections[conn.id] = conn
 	h.connections = append(h.connections, conn)
 	c.emit(DialHost{conn.id, h.address})
@@ -131,11 +133,11 @@
 	}
 	h := conn.host
 	c.logInfo(messageConnectionOpened, hostAttr(h.name), connectionAttr(conn.id), addressAttr(h.address))
-	conn.state, conn.lastSentAt, conn.lastReceivedAt = connectionOpen, c.now, c.now
-	h.lastSeenAliveAt, h.redialBackoff, h.refusedDials = c.now, 0, 0
+	conn.state, conn.openedAt, conn.lastSentAt, conn.lastReceivedAt = connectionOpen, c.now, c.now, c.now
+	h.liveness.reachableAt, h.redialBackoff, h.refusedDials = c.now, 0, 0
 	h.wasReset = false
-	if h.unreadableSince > 0 && c.settings.MayProbe {
-		c.sendProbeMessage(conn) // its result is readable if the host is well again
+	if c.settings.MayProbe && (h.unreadableSince > 0 || c.asksForSigns(h)) {
+		c.sendProbeMessage(conn) // its result is readable if the host is well
 	}
 	c.sendQueued(conn)
 	c.sendDeferredStops(h)
@@ -176,13 +178,20 @@
 			}
 		}
 	case purposeReachability:
-		if conn.inFlight == 0 && len(conn.host.connections) > 1 {
-			c.halfClose(conn, reasonSuperseded)
+		if !c.asksForSigns(conn.host) { // else reconcileConnection closes it once the probe on it is answered
+			c.closeIfSpare(conn)
 		}
 	case purposeMessages:
 	}
 }
 
+// closeIfSpare closes an idle connection that is not the only one to its host.
+func (c *Core) closeIfSpare(conn *hostConnection) {
+	if conn.isIdle() && len(conn.host.connections) > 1 {
+		c.halfClose(conn, reasonSuperseded)
+	}
+}
+
 func (c *Core) dialFailed(failure DialFailed) {
 	conn := c.connections[failure.Connection]
 	switch {
@@ -209,7 +218,7 @@
 	case refused && h.leastBusyConnection() != nil:
 		// The machine answers and its process still holds an open connection, so it drains or accepts no further ones.
 		// Counting the refusal would lose the tasks of a host that only refuses new connections.
-		h.lastSeenAliveAt = c.now
+		h.liveness.reachableAt = c.now
 	case refused:
 		h.refusedDials++
 	}
@@ -224,7 +233,7 @@
 	if conn.probeQueued && h.probe != nil {
 		c.finishProbe(h, forkhead.ConnectFailed, nil)
 	}
-	if h.refusedDials >= lostAfterRefusals && (h.processSeemsEnded() || c.now > h.lastSeenAliveAt+lostAfter) {
+	if h.refusedDials >= lostAfterRefusals && (h.processSeemsEnded() || c.now > h.liveness.lastContactAt()+lostAfter) {
 		c.endLostTasks(h, reasonRefusesConnections)
 	}
 }
--- a/internal/scheduler/platform/connection_test.go
+++ b/internal/scheduler/platform/connection_test.go
@@ -157,7 +157,7 @@
 				}
 			}
 			if open := w.core.hosts[1].leastBusyConnection(); open != nil && w.now%(500*time.Millisecond) < 10*time.Millisecond { // the host sends data
-				open.host.lastSeenAliveAt = w.now
+				open.host.liveness.reachableAt = w.now
 			}
 			if len(w.core.hosts[1].connections) == 0 {
 				t.Fatalf("probes allowed %v, at %v: got no connection to a host with tasks, want at least one", may, w.now)
@@ -178,7 +178,7 @@
 	_, old := w.placeTask()
 	tick := func() []Output {
 		w.now += reconcileInterval
-		w.core.hosts[1].lastSeenAliveAt = w.now // keeps the host from being dialed as unresponsive
+		w.core.hosts[1].liveness.reachableAt = w.now // keeps the host from being dialed as unresponsive
 		return w.step()
 	}
 	var dials []DialHost
--- a/internal/scheduler/platform/host.go
+++ b/internal/scheduler/platform/host.go
@@ -31,7 +31,7 @@
 	connections []*hostConnection           // connections that are being dialed or are open
 	probe       *probe                      // probe in progress; nil: none
 
-	lastSeenAliveAt  time.Duration // last time the host sent data, accepted a dial, or refused one while connected
+	liveness         liveness
 	lastDialFailedAt time.Duration // last failed dial, not counting local failures for lack of file descriptors
 	redialAt         time.Duration // earliest time of a dial that no offer or probe needs
 	redialBackoff    time.Duration // doubles with each failed dial
--- a/internal/scheduler/platform/hostmessages.go
+++ b/internal/scheduler/platform/hostmessages.go
@@ -20,7 +20,7 @@
 	if conn == nil {
 		return
 	}
-	conn.lastReceivedAt, conn.host.lastSeenAliveAt = c.now, c.now
+	conn.lastReceivedAt, conn.host.liveness.reachableAt = c.now, c.now
 	err := conn.reader.feed(c.now, input.Data, func(line []byte) error {
 		m, err := platform.Decode(line)
 		if err != nil {
@@ -30,6 +30,9 @@
 			return errNoDescription
 		}
 		conn.host.unreadableSince = 0
+		if conn.isVouchedFor {
+			conn.host.liveness.heard(c.now)
+		}
 		c.handleHostMessage(conn, &m)
 		return nil
 	})
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -86,6 +86,15 @@
 	// lostAfter is the time after which an unresponsive host to which no connection could be made is lost. It is below
 	// undeliveredTimeout so that its tasks are still released to their owners in time.
 	lostAfter = undeliveredTimeout - 500*time.Millisecond
+	// probeSilentAfter is the time after which a host with placed tasks that sends nothing is probed, repeatedly. Until then
+	// it is enough that it accepts connections.
+	probeSilentAfter = 2500 * time.Millisecond
+	// minUnanswered is the time for which a host must have left probes and dials unanswered to be lost. It is shorter than
+	// lostAfter by the time until the first of them, and keeps a host that nobody has asked, as this placer was stopped.
+	minUnanswered = 4500 * time.Millisecond
+	// reachabilityTimeout is the time after which a connection that was dialed to see whether a host is alive is closed,
+	// though nothing came on it.
+	reachabilityTimeout = 500 * time.Millisecond
 	// lostAfterRefusals is the number of dials refused in a row, with no connection open, that shows that a host's
 	// process has ended.
 	lostAfterRefusals int = 2
--- a/internal/scheduler/platform/reconcile.go
+++ b/internal/scheduler/platform/reconcile.go
@@ -25,8 +25,12 @@
 	if len(h.attempts) > 0 { // most hosts have no attempts, and iterating over an empty map has a cost
 		c.expireStops(h)
 	}
-	if c.expireUnlessListed(h) && len(h.attempts) > 0 {
+	switch {
+	case !c.expireUnlessListed(h):
+	case len(h.attempts) > 0:
 		c.reconcileResponsiveness(h)
+	default:
+		h.liveness.unwatch()
 	}
 	if len(h.unconfirmed) > 0 {
 		c.reconcileUnconfirmed(h)
@@ -48,11 +52,19 @@
 	switch {
 	case conn.reader.isStuck(c.now, hostLineTimeout):
 		c.closeConnection(conn, reasonPartialLine)
+	case conn.purpose == purposeReachability && conn.hasServed(c.now):
+		c.closeIfSpare(conn)
 	case conn.isIdle() && c.config.IdleTimeout > 0 && c.now > conn.lastUsedAt()+c.idleTimeout():
 		c.closeIdle(conn)
 	}
 }
 
+// hasServed reports whether a connection that was dialed to see whether its host is alive has brought a message, or has been
+// open for so long that it brings none.
+func (conn *hostConnection) hasServed(now time.Duration) bool {
+	return conn.state == connectionOpen && (conn.lastReceivedAt > conn.openedAt || now > conn.openedAt+reachabilityTimeout)
+}
+
 // idleTimeout returns how long a connection to a host may be idle. It is 3/5 of the time after which the host closes
 // the connection, as an offer that crosses the host's close may have run.
 func (c *Core) idleTimeout() time.Duration { return c.config.IdleTimeout * 3 / 5 }
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -81,49 +81,62 @@
 	}
 }
 
-// isAliveAfterRemoval reports whether a host that the endpoint list has as removed has sent something since then, on a
-// connection that is still open. Such a list is wrong, or early.
-func (h *host) isAliveAfterRemoval() bool {
-	return h.leastBusyConnection() != nil && h.lastReceivedAt() > h.removedAt
+// isAliveAfterRemoval reports whether a host that the endpoint list has as removed has shown since then that it is alive, and
+// a connection to it is open. Such a list is wrong, or early. A host that says nothing for lostAfter is alive no more.
+func (h *host) isAliveAfterRemoval(now time.Duration) bool {
+	heardAt := h.liveness.heardAt
+	return h.leastBusyConnection() != nil && heardAt > h.removedAt && now <= heardAt+lostAfter
 }
 
-// lastReceivedAt returns the last time at which something was received on a connection that is open.
-func (h *host) lastReceivedAt() time.Duration {
-	last := time.Duration(0)
-	for _, conn := range h.connections {
-		last = max(last, conn.lastReceivedAt)
-	}
-	return last
-}
-
-// reconcileResponsiveness dials a host with placed tasks that sends nothing or has no open connection, to see whether
-// it is alive. If it has accepted no connection for too long, its tasks count as lost.
+// reconcileResponsiveness asks a host with placed tasks that sends nothing or has no open connection whether it is alive. If
+// it has left that unanswered for too long, its tasks count as lost.
 func (c *Core) reconcileResponsiveness(h *host) {
 	if !h.hasPlacedTasks() || h.address == "" {
+		h.liveness.unwatch()
 		return
 	}
-	if h.lastSeenAliveAt == 0 { // the host has never been seen alive, so the time until it counts as lost begins now
-		h.lastSeenAliveAt = c.now
-	}
+	h.liveness.watch(c.now)
 	if h.isUnreadable(c.now, c.settings.MayProbe) {
 		c.endLostTasks(h, reasonOnlyUnreadable)
 		return
 	}
-	switch unresponsiveFor := c.now - h.lastSeenAliveAt; {
-	case h.isLost(unresponsiveFor):
+	silentFor := c.now - h.liveness.lastSignAt(c.settings.MayProbe)
+	if c.isLost(h, silentFor) {
 		c.endLostTasks(h, reasonUnresponsive)
 		for _, conn := range slices.Clone(h.connections) {
 			c.closeConnection(conn, reasonUnresponsive)
 		}
+		return
+	}
+	if c.asksForSigns(h) && c.now >= h.liveness.askedAt+unresponsiveAfter {
+		c.probeOpenConnections(h)
+	}
+	switch {
 	case h.isDialing():
-	case c.now < h.redialAt && !h.needsLastDial(unresponsiveFor):
+	case c.now < h.redialAt && !h.needsLastDial(silentFor):
 	case h.leastBusyConnection() == nil:
+		h.liveness.asked(c.now)
 		c.dial(h, purposeMessages)
-	case unresponsiveFor > unresponsiveAfter:
+	case silentFor > unresponsiveAfter && c.now > h.liveness.reachableAt+unresponsiveAfter:
 		c.dial(h, purposeReachability)
 	}
 }
 
+// asksForSigns reports whether a host that accepts connections and says nothing is asked for a message.
+func (c *Core) asksForSigns(h *host) bool {
+	return c.settings.MayProbe && h.hasPlacedTasks() && c.now > h.liveness.lastSignAt(true)+probeSilentAfter
+}
+
+// probeOpenConnections asks a host on each open connection whether it is alive, as some may pass nothing any more.
+func (c *Core) probeOpenConnections(h *host) {
+	h.liveness.asked(c.now)
+	for _, conn := range h.connections {
+		if conn.state == connectionOpen {
+			c.sendProbeMessage(conn)
+		}
+	}
+}
+
 // isUnreadable reports whether a host has sent nothing but unreadable messages for lostAfter. The ends of its tasks may be
 // among them. If the host may be probed, it was asked for a readable one; otherwise it must still send unreadable ones.
 func (h *host) isUnreadable(now time.Duration, mayProbe bool) bool {
@@ -131,15 +144,26 @@
 		(mayProbe || now < h.lastUnreadableAt+unresponsiveAfter)
 }
 
-// isLost reports whether a host has not been seen alive for too long and no connection to it could be made meanwhile. A
-// dial in progress is awaited for up to lastDialBeforeLoss/2 longer.
-func (h *host) isLost(unresponsiveFor time.Duration) bool {
-	return unresponsiveFor > lostAfter && h.lastDialFailedAt > h.lastSeenAliveAt+unresponsiveAfter &&
-		(!h.isDialing() || unresponsiveFor > lostAfter+lastDialBeforeLoss/2)
+// isLost reports whether a host has shown no sign of life for too long although it was asked for one. A dial in progress, or
+// the answer on a connection that has just opened, is awaited for up to lastDialBeforeLoss/2 longer.
+func (c *Core) isLost(h *host, silentFor time.Duration) bool {
+	const lastWait = lastDialBeforeLoss / 2
+	if silentFor <= lostAfter {
+		return false
+	}
+	mayStillAnswer := h.isDialing() || c.settings.MayProbe && c.now < h.liveness.reachableAt+lastWait
+	if mayStillAnswer && silentFor <= lostAfter+lastWait {
+		return false
+	}
+	if c.settings.MayProbe {
+		return h.liveness.leavesUnanswered(c.now)
+	}
+	return h.lastDialFailedAt > h.liveness.lastContactAt()+unresponsiveAfter
 }
 
 // needsLastDial reports whether a host is about to be lost, but no dial has failed since lastDialBeforeLoss before the
 // loss. Such a host is dialed regardless of its backoff.
-func (h *host) needsLastDial(unresponsiveFor time.Duration) bool {
-	return unresponsiveFor > lostAfter-lastDialBeforeLoss && h.lastDialFailedAt < h.lastSeenAliveAt+lostAfter-lastDialBeforeLoss
+func (h *host) needsLastDial(silentFor time.Duration) bool {
+	lastSign := h.liveness.lastContactAt()
+	return silentFor > lostAfter-lastDialBeforeLoss && h.lastDialFailedAt < lastSign+lostAfter-lastDialBeforeLoss
 }
--- a/internal/scheduler/platform/unresponsive_test.go
+++ b/internal/scheduler/platform/unresponsive_test.go
@@ -67,7 +67,7 @@
 		w := newTestCore(t, nil)
 		w.placeTask()
 		w.run(3*time.Second, connected, func() {})
-		receivedAt, from := w.core.hosts[1].lastSeenAliveAt, w.now
+		receivedAt, from := w.core.hosts[1].liveness.lastContactAt(), w.now
 		releasedAt := time.Duration(0)
 		w.run(10*time.Second, func(d DialHost) Input {
 			if w.now > from+cut {
