platform: an end of a task that is lost with its connection comes on a new one

Cause: a host sends the end of a task on the connection of its offer and repeats it on the next one that opens. The placer opened another connection only if none was open or the whole host was silent, so that one connection with notes kept it from learning what a broken one had lost.

Fix: when a connection to a host with placed tasks does not end in order, a further one is opened for half a second, and again each 5 s while a task runs whose offer was sent on the broken one, as the host may not know. An idle connection that brings nothing for 4 s beside others is closed; a host that is there closes it in turn, else it counts as broken. Evictions do not count, and none is made for such a connection.

--- a/internal/scheduler/platform/attempt.go
+++ b/internal/scheduler/platform/attempt.go
@@ -18,6 +18,7 @@
 	connection   *hostConnection // connection on which its offer is queued or in flight; nil: none
 	sentAt       time.Duration   // time at which the offer was sent, or created if it is still queued
 	offeredOn    ConnectionID    // connection on which the offer was sent; 0: it was not sent
+	carriage     *carriage       // of the connection on which the offer was sent; nil: it was not sent here
 	hasNotes     bool            // the host has sent notes on the task, so it runs the task even if it has not answered the offer
 	stop         stopMessageSent // the latest stop of the task
 	mayNotStop   bool            // withdrawing is not allowed, and no answer shows that the host runs the task
@@ -140,7 +141,7 @@
 		c.endAttempt(a, attemptEnd{input: attempt.Abandoned, result: forkhead.NotSent, final: r.phase != requestOpen})
 		return
 	}
-	a.sentAt, a.offeredOn = c.now, a.connection.id
+	a.sentAt, a.offeredOn, a.carriage = c.now, a.connection.id, a.connection.carriage
 	a.connection.inFlight++
 	a.connection.lastSentAt = c.now
 	r.lifecycle.Handle(a.number, attempt.OfferWritten)
@@ -174,6 +175,9 @@
 	}
 	r := a.request
 	a.detach()
+	if a.isPlaced() {
+		a.removePlaced()
+	}
 	r.lifecycle.Handle(a.number, end.input)
 	c.notifyModule(forkhead.Outcome{
 		Task: r.id, Attempt: a.number, Machine: a.host.id, Result: end.result, Reason: end.reason,
--- a/internal/scheduler/platform/connection.go
+++ b/internal/scheduler/platform/connection.go
@@ -25,6 +25,7 @@
 const (
 	purposeMessages     connectionPurpose = iota // to send offers, probes or stops
 	purposeReachability                          // to check whether an unresponsive host accepts connections
+	purposeMissedEnds                            // to receive ends of tasks that a broken connection may have lost
 	purposeReplacement                           // to replace an idle connection where hosts may not be probed
 )
 
@@ -38,7 +39,8 @@
 	openedAt       time.Duration
 	isVouchedFor   bool // it was dialed while the endpoint list had the host, so what comes on it is from the host
 	lastReceivedAt time.Duration
-	lastSentAt     time.Duration  // time of the last offer, probe, dial or connect
+	lastSentAt     time.Duration // time of the last offer, probe, dial or connect
+	carriage       *carriage
 	inFlight       int            // number of offers sent and not answered
 	queued         []*taskAttempt // attempts whose offers are sent once the connection is open
 	probeQueued    bool           // a probe is sent once the connection is open
@@ -119,7 +121,7 @@
 		return nil
 	}
 	c.lastConnection++
-	conn := &hostConnection{id: c.lastConnection, host: h, purpose: purpose, lastSentAt: c.now, isVouchedFor: h.entry.State != forkhead.Removed}
+	conn := &hostConnection{id: c.lastConnection, host: h, purpose: purpose, lastSentAt: c.now, isVouchedFor: h.entry.State != forkhead.Removed, carriage: &carriage{}}
 	c.connections[conn.id] = conn
 	h.connections = append(h.connections, conn)
 	c.emit(DialHost{conn.id, h.address})
@@ -136,6 +138,7 @@
 	conn.state, conn.openedAt, conn.lastSentAt, conn.lastReceivedAt = connectionOpen, c.now, c.now, c.now
 	h.liveness.reachableAt, h.redialBackoff, h.refusedDials = c.now, 0, 0
 	h.wasReset = false
+	h.recordOpened(c.now)
 	if c.settings.MayProbe && (h.unreadableSince > 0 || c.asksForSigns(h)) {
 		c.sendProbeMessage(conn) // its result is readable if the host is well
 	}
@@ -178,17 +181,11 @@
 			}
 		}
 	case purposeReachability:
-		if !c.asksForSigns(conn.host) { // else reconcileConnection closes it once the probe on it is answered
-			c.closeIfSpare(conn)
+		isAsked := c.asksForSigns(conn.host) // if so, reconcileConnection closes it once the probe on it is answered
+		if !isAsked && conn.inFlight == 0 && len(conn.host.connections) > 1 {
+			c.halfClose(conn, reasonSuperseded)
 		}
-	case purposeMessages:
-	}
-}
-
-// closeIfSpare closes an idle connection that is not the only one to its host.
-func (c *Core) closeIfSpare(conn *hostConnection) {
-	if conn.isIdle() && len(conn.host.connections) > 1 {
-		c.halfClose(conn, reasonSuperseded)
+	case purposeMessages, purposeMissedEnds:
 	}
 }
 
@@ -261,13 +258,18 @@
 	return len(c.connections) - min(len(c.halfClosed), maxHalfClosed)
 }
 
+// hasFreeHostSlot reports whether a slot for one more connection to a host is free.
+func (c *Core) hasFreeHostSlot() bool {
+	used := c.usedHostConnections()
+	return used < c.config.MaxHostConnections && used+len(c.owners) < c.config.MaxConnections
+}
+
 // acquireHostSlot makes sure that there is a slot for one more connection to a host, and reports whether there is. If
 // all are taken, it evicts an idle connection to another host, or else a connection of an owner beyond the protected
 // number. The bound keeps file descriptors from running out, after which neither hosts nor owners nor the endpoint list
 // could be reached any more.
 func (c *Core) acquireHostSlot(h *host) bool {
-	used := c.usedHostConnections()
-	if used < c.config.MaxHostConnections && used+len(c.owners) < c.config.MaxConnections {
+	if c.hasFreeHostSlot() {
 		return true
 	}
 	if idle := c.evictionCandidate(h); idle != nil {
@@ -275,7 +277,7 @@
 		return true
 	}
 	owner := c.ownerEvictionCandidate()
-	if owner == nil || used >= c.config.MaxHostConnections || len(c.owners) <= c.config.ProtectedOwnerConnections {
+	if owner == nil || c.usedHostConnections() >= c.config.MaxHostConnections || len(c.owners) <= c.config.ProtectedOwnerConnections {
 		return false
 	}
 	c.closeOwner(owner, reasonEvicted)
@@ -330,6 +332,9 @@
 // closeConnection closes a connection at once and logs the reason.
 func (c *Core) closeConnection(conn *hostConnection, reason logReason, details ...slog.Attr) {
 	c.logConnection(messageConnectionClosed, conn, reason, details...)
+	if reason != reasonEvicted { // else the connections of two hosts could evict one another for ever
+		c.recordBroken(conn)
+	}
 	c.emit(CloseHostConnection{conn.id})
 	c.connectionLost(conn)
 }
@@ -348,6 +353,7 @@
 	reason := reasonClosedByPeer
 	if input.Reset {
 		reason = reasonReset
+		c.recordBroken(conn)
 	}
 	c.logConnection(messageConnectionEnded, conn, reason)
 	conn.host.wasReset = input.Reset
--- a/internal/scheduler/platform/host.go
+++ b/internal/scheduler/platform/host.go
@@ -32,6 +32,8 @@
 	probe       *probe                      // probe in progress; nil: none
 
 	liveness         liveness
+	stranded         int           // placed tasks whose offers were sent on connections that broke
+	reopenAt         time.Duration // when a connection is to be opened for ends that may have been lost; 0: none is
 	lastDialFailedAt time.Duration // last failed dial, not counting local failures for lack of file descriptors
 	redialAt         time.Duration // earliest time of a dial that no offer or probe needs
 	redialBackoff    time.Duration // doubles with each failed dial
--- a/internal/scheduler/platform/hostmessages.go
+++ b/internal/scheduler/platform/hostmessages.go
@@ -109,6 +109,7 @@
 		return
 	}
 	r.lifecycle.Handle(a.number, attempt.Accepted)
+	a.addPlaced()
 	c.closeRequest(r, requestPlaced)
 	answer := boundMessage(r.ref, description)
 	c.emit(SendToOwner{r.owner, answer})
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -92,8 +92,14 @@
 	// minUnanswered is the time for which a host must have left probes and dials unanswered to be lost. It is shorter than
 	// lostAfter by the time until the first of them, and keeps a host that nobody has asked, as this placer was stopped.
 	minUnanswered = 4500 * time.Millisecond
-	// reachabilityTimeout is the time after which a connection that was dialed to see whether a host is alive is closed,
-	// though nothing came on it.
+	// silentConnectionAfter is the time after which an idle connection that brings nothing is closed if others to the same
+	// host are open. With halfClosedTimeout and the time of a dial it is below undeliveredTimeout.
+	silentConnectionAfter = 4 * time.Second
+	// reopenInterval is the time between two connections that are opened to a host for ends that it may have sent on a
+	// broken one. It is below undeliveredTimeout.
+	reopenInterval = 5 * time.Second
+	// reachabilityTimeout is the time after which a connection that was dialed to see whether a host is alive, or for lost
+	// ends of tasks, is closed if it is not used.
 	reachabilityTimeout = 500 * time.Millisecond
 	// lostAfterRefusals is the number of dials refused in a row, with no connection open, that shows that a host's
 	// process has ended.
--- a/internal/scheduler/platform/log.go
+++ b/internal/scheduler/platform/log.go
@@ -57,6 +57,7 @@
 	reasonRemoved            logReason = "the endpoint list has it as removed"
 
 	reasonIdle           logReason = "it was idle"
+	reasonPassesNothing  logReason = "it brings nothing, and others do"
 	reasonSuperseded     logReason = "a newer connection replaces it"
 	reasonEvicted        logReason = "its slot was needed"
 	reasonOutdated       logReason = "the endpoint list changed its host"
--- /dev/null
+++ b/internal/scheduler/platform/missedends.go
@@ -0,0 +1,81 @@
+package platform
+
+import "time"
+
+// A host sends the end of a task on the connection of its offer, or else on any open one, and repeats it on the next
+// connection that opens. An end that was on its way when a connection broke therefore comes only if another one is opened,
+// however many others are open. If the host does not know that the connection is broken, it goes on sending there: as long
+// as a task runs whose offer was sent on such a connection, one is opened from time to time.
+
+// carriage counts the placed tasks whose offers were sent on a connection. It outlives the connection.
+type carriage struct {
+	placed   int
+	isBroken bool // the connection did not end in order
+}
+
+// addPlaced counts a task that its host has accepted.
+func (a *taskAttempt) addPlaced() {
+	if a.carriage != nil {
+		a.carriage.placed++
+	}
+}
+
+// removePlaced is the reverse of addPlaced, at the end of the task.
+func (a *taskAttempt) removePlaced() {
+	if a.carriage == nil {
+		return
+	}
+	a.carriage.placed--
+	if a.carriage.isBroken {
+		a.host.stranded--
+	}
+}
+
+// recordBroken handles the end of a connection that may have lost ends of tasks.
+func (c *Core) recordBroken(conn *hostConnection) {
+	h := conn.host
+	if conn.state == connectionDialing || conn.carriage.isBroken {
+		return
+	}
+	conn.carriage.isBroken = true
+	h.stranded += conn.carriage.placed
+	switch {
+	case !h.hasPlacedTasks():
+	case conn.purpose == purposeMissedEnds: // little was sent on it, and if the host leaves all of them open, each would call for another
+		h.reopenAt = c.now + reopenInterval
+	default:
+		h.reopenAt = c.now
+	}
+}
+
+// recordOpened notes that a connection has opened on which the host repeats ends.
+func (h *host) recordOpened(now time.Duration) {
+	if h.reopenAt == 0 {
+		return
+	}
+	h.reopenAt = 0
+	if h.stranded > 0 {
+		h.reopenAt = now + reopenInterval
+	}
+}
+
+// needsReopening reports whether a connection is to be opened for ends that may have been lost. None is evicted for it.
+func (c *Core) needsReopening(h *host) bool {
+	return h.reopenAt > 0 && c.now >= h.reopenAt && len(h.connections) < maxConnectionsPerHost && c.hasFreeHostSlot()
+}
+
+// passesNothing reports whether an idle connection has brought nothing for so long that it may be broken, and another one
+// is open in its place. It is closed then: a host that is still there closes it too, and so shows that nothing was lost.
+func (conn *hostConnection) passesNothing(now time.Duration) bool {
+	h := conn.host
+	return conn.isIdle() && now > conn.lastReceivedAt+silentConnectionAfter && h.hasOtherOpen(conn) && h.hasPlacedTasks()
+}
+
+func (h *host) hasOtherOpen(conn *hostConnection) bool {
+	for _, other := range h.connections {
+		if other != conn && other.state == connectionOpen {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/scheduler/platform/reconcile.go
+++ b/internal/scheduler/platform/reconcile.go
@@ -52,17 +52,26 @@
 	switch {
 	case conn.reader.isStuck(c.now, hostLineTimeout):
 		c.closeConnection(conn, reasonPartialLine)
-	case conn.purpose == purposeReachability && conn.hasServed(c.now):
-		c.closeIfSpare(conn)
+	case conn.hasServed(c.now) && conn.isIdle() && conn.host.hasOtherOpen(conn):
+		c.halfClose(conn, reasonSuperseded)
+	case conn.passesNothing(c.now):
+		c.halfClose(conn, reasonPassesNothing)
 	case conn.isIdle() && c.config.IdleTimeout > 0 && c.now > conn.lastUsedAt()+c.idleTimeout():
 		c.closeIdle(conn)
 	}
 }
 
-// hasServed reports whether a connection that was dialed to see whether its host is alive has brought a message, or has been
-// open for so long that it brings none.
+// hasServed reports whether a connection that was dialed for another purpose than messages has served it: it has brought
+// what it was opened for, or has been open for so long that it will not.
 func (conn *hostConnection) hasServed(now time.Duration) bool {
-	return conn.state == connectionOpen && (conn.lastReceivedAt > conn.openedAt || now > conn.openedAt+reachabilityTimeout)
+	isLate := now > conn.openedAt+reachabilityTimeout
+	switch {
+	case conn.state != connectionOpen:
+		return false
+	case conn.purpose == purposeMissedEnds:
+		return isLate
+	}
+	return conn.purpose == purposeReachability && (isLate || conn.lastReceivedAt > conn.openedAt)
 }
 
 // idleTimeout returns how long a connection to a host may be idle. It is 3/5 of the time after which the host closes
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -117,6 +117,8 @@
 	case h.leastBusyConnection() == nil:
 		h.liveness.asked(c.now)
 		c.dial(h, purposeMessages)
+	case c.needsReopening(h):
+		c.dial(h, purposeMissedEnds)
 	case silentFor > unresponsiveAfter && c.now > h.liveness.reachableAt+unresponsiveAfter:
 		c.dial(h, purposeReachability)
 	}
