--- a/internal/cli/chaos_node.go
+++ b/internal/cli/chaos_node.go
@@ -18,6 +18,7 @@
 	runs     int
 	parallel int
 	shrink   bool
+	lost     bool
 	folder   string // folder for the placers' logs; "" for a temporary one that is removed
 }
 
@@ -35,6 +36,7 @@
 	flags.IntVar(&f.runs, "runs", 1, "number of runs, with this seed and the ones after it")
 	flags.IntVar(&f.parallel, "parallel", 1, "number of runs at once")
 	flags.BoolVar(&f.shrink, "shrink", false, "shorten the plan of each run that breaks a rule")
+	flags.BoolVar(&f.lost, "lost-hosts", false, "draw hosts that are lost while something still answers at their addresses, series of signals and crowds")
 	flags.StringVar(&f.folder, "logs", "", "folder for the logs of the placers (default: a temporary one)")
 	return c
 }
@@ -81,6 +83,13 @@
 	return nil
 }
 
+func (f *nodeChaosFlags) draw(seed uint64) nodechaos.Plan {
+	if f.lost {
+		return nodechaos.DrawLostHosts(seed)
+	}
+	return nodechaos.Draw(seed)
+}
+
 // runAll runs the plans of all seeds, up to parallel at once, and returns their results in the order of the seeds.
 func (f *nodeChaosFlags) runAll(run func(*nodechaos.Plan) (*nodechaos.Result, error)) ([]*nodechaos.Result, error) {
 	results, errs := make([]*nodechaos.Result, f.runs), make([]error, f.runs)
@@ -90,7 +99,7 @@
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			plan := nodechaos.Draw(f.seed + uint64(i))
+			plan := f.draw(f.seed + uint64(i))
 			results[i], errs[i] = run(&plan)
 		})
 	}
--- a/internal/verify/nodechaos/plan.go
+++ b/internal/verify/nodechaos/plan.go
@@ -23,8 +23,11 @@
 	RequestInterval time.Duration
 	// ReleaseAfter is the time after which owners release the tasks of their first requests; 0: they do not.
 	ReleaseAfter time.Duration
+	// NoteInterval is the time between two notes of a host on a running task; 0: there are none.
+	NoteInterval time.Duration
 	Faults       []platformmodel.Fault
 	Signals      []Signal
+	Crowd        Crowd
 }
 
 // Signal is a signal to the process of a placer. A placer that was killed, or that has exited after SIGTERM, is started
@@ -34,6 +37,9 @@
 	Placer       int
 	Signal       syscall.Signal
 	RestartDelay time.Duration
+	// Then are signals that follow at the interval, to the same process if it runs.
+	Then     []syscall.Signal
+	Interval time.Duration
 }
 
 // Classes of the requests, by their index.
@@ -67,7 +73,7 @@
 	return Plan{
 		Seed: seed, Length: length, Placers: 1, Racks: 3, Hosts: 6, Services: 8,
 		RunTime:         platformmodel.Range{Min: time.Hour, Max: time.Hour},
-		RequestInterval: 250 * time.Millisecond,
+		RequestInterval: 250 * time.Millisecond, NoteInterval: time.Second,
 	}
 }
 
@@ -79,7 +85,7 @@
 			Zone: zoneName, MachineType: machineTypeName, Cell: i % p.Racks,
 			Config: platformmodel.HostConfig{
 				Cores: hostCores, Memory: hostMemory, MaxQueued: 64, RunTime: p.RunTime,
-				AnswerTime: platformmodel.Range{Min: 2 * time.Millisecond, Max: 10 * time.Millisecond}, NoteInterval: time.Second,
+				AnswerTime: platformmodel.Range{Min: 2 * time.Millisecond, Max: 10 * time.Millisecond}, NoteInterval: p.NoteInterval,
 				IdleTimeout: idleTimeout, SlowStartDuration: slowStartDuration, SlowStartFactor: 2, SlowStartWindow: slowStartWindow,
 			},
 		})
--- a/internal/verify/nodechaos/process.go
+++ b/internal/verify/nodechaos/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -124,6 +125,11 @@
 	return err
 }
 
+// requestsShutdown reports whether a signal, or one that follows it, requests the shutdown of a placer.
+func (s *Signal) requestsShutdown() bool {
+	return s.Signal == syscall.SIGTERM || slices.Contains(s.Then, syscall.SIGTERM)
+}
+
 // kill ends the process and waits for it.
 func (p *process) kill() {
 	if p.running == nil {
--- a/internal/verify/nodechaos/result.go
+++ b/internal/verify/nodechaos/result.go
@@ -65,7 +65,10 @@
 		fmt.Fprintf(&text, "  %v for %v: %s, target %+v, amount %v\n", f.At, f.Duration, f.Type, f.Target, f.Amount)
 	}
 	for _, s := range p.Signals {
-		fmt.Fprintf(&text, "  %v: %v to placer %d, %v\n", s.At, s.Signal, s.Placer, s.RestartDelay)
+		fmt.Fprintf(&text, "  %v: %v to placer %d, %v; then %v each %v\n", s.At, s.Signal, s.Placer, s.RestartDelay, s.Then, s.Interval)
+	}
+	if p.Crowd.Connections > 0 {
+		fmt.Fprintf(&text, "  %v: a crowd of %d at placer %d\n", p.Crowd.At, p.Crowd.Connections, p.Crowd.Placer)
 	}
 	return text.String()
 }
--- a/internal/verify/nodechaos/run.go
+++ b/internal/verify/nodechaos/run.go
@@ -100,6 +100,11 @@
 
 // play sends the signals of the plan and waits for its end. Signals to different placers do not wait for each other.
 func (r *run) play(ctx context.Context, begin time.Time) error {
+	crowdContext, endCrowd := context.WithCancel(ctx)
+	var crowd sync.WaitGroup
+	crowd.Go(func() { r.playCrowd(crowdContext, begin) })
+	defer crowd.Wait()
+	defer endCrowd()
 	var placers sync.WaitGroup
 	for _, p := range r.processes {
 		placers.Go(func() { r.fail(r.playSignals(ctx, p, begin)) })
@@ -139,20 +144,21 @@
 	return nil
 }
 
-// send sends a signal and restarts the placer if the signal ends it.
+// send sends a signal and those that follow it, and restarts the placer if they end it.
 func (r *run) send(ctx context.Context, p *process, s *Signal) error {
 	from := r.emulator.Now()
-	if err := p.signal(s.Signal); err != nil {
+	requestedAt, err := r.sendSeries(ctx, p, s)
+	if err != nil {
 		return err
 	}
-	switch s.Signal {
-	case syscall.SIGTERM:
-		r.awaitShutdown(p, from)
-		return r.startAgain(ctx, p, s, r.emulator.Now())
-	case syscall.SIGKILL:
+	switch {
+	case s.Signal == syscall.SIGKILL:
 		p.kill()
 		return r.startAgain(ctx, p, s, from)
-	case syscall.SIGSTOP:
+	case s.requestsShutdown():
+		r.awaitShutdown(p, requestedAt)
+		return r.startAgain(ctx, p, s, r.emulator.Now())
+	case s.Signal == syscall.SIGSTOP:
 		if err := clock.Sleep(ctx, s.RestartDelay); err != nil {
 			return err
 		}
@@ -164,13 +170,31 @@
 	return nil
 }
 
+// sendSeries sends a signal and those that follow it. It returns the time of the first that requests a shutdown.
+func (r *run) sendSeries(ctx context.Context, p *process, s *Signal) (requestedAt time.Duration, err error) {
+	for i, signal := range append([]syscall.Signal{s.Signal}, s.Then...) {
+		if i > 0 {
+			if err := clock.Sleep(ctx, s.Interval); err != nil {
+				return 0, err
+			}
+		}
+		if signal == syscall.SIGTERM && requestedAt == 0 {
+			requestedAt = r.emulator.Now()
+		}
+		if err := p.signal(signal); err != nil {
+			return 0, err
+		}
+	}
+	return requestedAt, nil
+}
+
 // awaitShutdown waits until a process has ended after SIGTERM, and kills it at the earliest time at which the platform
 // may do so.
 func (r *run) awaitShutdown(p *process, requestedAt time.Duration) {
 	killed := false
 	select {
 	case <-p.exited:
-	case <-time.After(requestTimeout + minKillDelay):
+	case <-time.After(requestedAt + requestTimeout + minKillDelay - r.emulator.Now()):
 		killed = true
 		p.kill()
 	}
--- a/internal/verify/nodechaos/soak_test.go
+++ b/internal/verify/nodechaos/soak_test.go
@@ -22,12 +22,18 @@
 )
 
 // Runs with drawn faults and signals break no rule.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { runSoak(t, nodechaos.Draw) }
+
+// Runs in which hosts are lost and something still answers at their addresses break no rule.
+func TestSoakLostHosts(t *testing.T) { runSoak(t, nodechaos.DrawLostHosts) }
+
+func runSoak(t *testing.T, draw func(seed uint64) nodechaos.Plan) {
+	t.Helper()
 	first, count := intVariable(t, soakSeedVariable, defaultSoakSeed), intVariable(t, soakCountVariable, defaultSoakCount)
 	for seed := first; seed < first+count; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			plan := nodechaos.Draw(uint64(seed))
+			plan := draw(uint64(seed))
 			runPlan(t, &plan)
 		})
 	}
