platform: a hand-over that comes twice in one step does not close its owner's connection

Seen by callers: after a restart of the placer, requests that came behind hand-overs on the same connection were not answered; the connection was closed.

Cause: a task that has ended stays known by its ref until the end of the step. A second hand-over of it in that step was taken for another request under a ref in use.

TestCoreServesRequestsBehindRepeatedHandOverOnGoneHost failed before (connection closed).

Fix: such a hand-over is handled like one after the step, and is answered with the release, once on a connection.

Shown: the test passes; scheduler/platform passes.

--- a/internal/scheduler/platform/handover_test.go
+++ b/internal/scheduler/platform/handover_test.go
@@ -275,3 +275,21 @@
 		})
 	}
 }
+
+// A task that is handed over twice in one read, on a host that has gone, is released once, and the requests behind it are
+// served: its owner repeats hand-overs when a start and a reset come together.
+func TestCoreServesRequestsBehindRepeatedHandOverOnGoneHost(t *testing.T) {
+	w := newTestCore(t, nil)
+	w.step(hostChanged(2, platform.Terminated))
+	w.advance(removedGrace + 2*reconcileInterval)
+	owner := w.connectOwner()
+	lines := []string{handOverLine(ref1, 2), handOverLine(ref1, 2), requestLine(ref2, "keyed", "")}
+	out := w.step(OwnerData{Owner: owner, Data: []byte(strings.Join(lines, "\n") + "\n")})
+	w.wantLines(sentLines[SendToOwner](out), "down "+ref1+" 41")
+	if closed := ofType[CloseOwnerConnection](out); len(closed) != 0 {
+		t.Fatalf("after a repeated hand-over: got %v, want the connection open", closed)
+	}
+	if dials := ofType[DialHost](out); len(dials) != 1 {
+		t.Errorf("the request behind the hand-overs: got %d dials of its host, want 1", len(dials))
+	}
+}
--- a/internal/scheduler/platform/ownermessages.go
+++ b/internal/scheduler/platform/ownermessages.go
@@ -131,8 +131,11 @@
 
 // handleKnownRef handles a request or hand-over whose ref belongs to a known request.
 func (c *Core) handleKnownRef(owner *ownerConnection, r *request, decoded *decodedRequest) {
+	isSameHandOver := decoded.isHandOver() && r.task.Key == decoded.task.Key
 	switch {
-	case decoded.isHandOver() && r.task.Key == decoded.task.Key && r.phase != requestFinished:
+	case isSameHandOver && r.phase == requestFinished: // the task has ended in this step, and r is not removed yet
+		c.handleHandOver(owner, decoded)
+	case isSameHandOver:
 		// A hand-over of a task that this placer has placed or is placing is not answered. The release of a placed task
 		// moves to this connection. The digest is not compared: a hand-over differs from the request that placed the
 		// task, and rejecting it would release a running task.
