--- a/internal/verify/nodechaos/endsoftasks_test.go
+++ b/internal/verify/nodechaos/endsoftasks_test.go
@@ -92,3 +92,14 @@
 		"never reset":     {dead(forGood)},
 	})
 }
+
+// A host whose process is killed and is back at once has lost its tasks, although no dial was refused meanwhile.
+func TestOwnerLearnsEndOfTaskWhoseHostRestartsAtOnce(t *testing.T) {
+	t.Parallel()
+	restart := hostFault(platformmodel.FaultMassKill, 0, time.Millisecond)
+	runCases(t, platformmodel.Range{}, map[string][]platformmodel.Fault{
+		"once":                              {restart},
+		"twice":                             {restart, afterwards(restart, 600*time.Millisecond)},
+		"after connections closed in order": {hostFault(platformmodel.FaultIdleClosed, 0, 0), afterwards(restart, 10*time.Millisecond)},
+	})
+}
