platform: the repeated end of an earlier attempt does not end a later one on another connection

Seen by callers: a third offer of a request while its second is in flight and is then accepted, so that two attempts are out at once.

Cause: a host repeats the end of a task that the placer never saw on the next connection that opens. If the same request had been offered to that host again by then, the end was taken for the later attempt's.

TestCoreIgnoresReleaseOfEarlierAttemptOnAnotherConnection failed before (a further offer).

Fix: while the later offer's own connection is open, a release on another one is about the earlier attempt; it is acknowledged and has no other effect.

Shown: the test passes; scheduler/platform passes.

--- a/internal/scheduler/platform/attempt_test.go
+++ b/internal/scheduler/platform/attempt_test.go
@@ -346,3 +346,32 @@
 	w.wantLines(sentLines[SendToHost](w.outputs), "down "+ref2+" 16")
 	w.wantLines(sentLines[SendToOwner](w.outputs))
 }
+
+// The host repeats the end of an earlier attempt on a new connection while a later attempt of the same request is in flight on
+// another one. The later attempt goes on.
+func TestCoreIgnoresReleaseOfEarlierAttemptOnAnotherConnection(t *testing.T) {
+	w := newTestCore(t, mayProbe)
+	w.decide = func(ev forkhead.Event) []forkhead.Action {
+		switch ev := ev.(type) {
+		case forkhead.PlacementRequest:
+			return []forkhead.Action{forkhead.Offer{Task: ev.Task.ID, Machine: 1}}
+		case forkhead.Outcome:
+			if !ev.Final {
+				return []forkhead.Action{forkhead.Offer{Task: ev.Task, Machine: 1}}
+			}
+		}
+		return nil
+	}
+	w.send(w.connectOwner(), requestLine(ref1, "keyed", ""))
+	first := ofType[DialHost](w.outputs)[0].Connection
+	w.connectDialed()
+	w.step(HostDisconnected{Connection: first, Reset: true})
+	second := ofType[DialHost](w.outputs)[0].Connection
+	w.wantLines(sentLines[SendToHost](w.connectDialed()), "new "+ref1)
+	third := w.core.dial(w.core.hosts[1], purposeMissedEnds).id
+	w.step(HostConnected{third})
+	out := w.step(fromHost(third, releaseLine(ref1, 41)))
+	w.wantLines(sentLines[SendToHost](out), "ack "+ref1)
+	out = w.step(fromHost(second, boundLine(ref1)))
+	w.wantLines(sentLines[SendToOwner](out), "up "+ref1)
+}
--- a/internal/scheduler/platform/hostmessages.go
+++ b/internal/scheduler/platform/hostmessages.go
@@ -149,12 +149,21 @@
 		c.reportedEnds.add(reportedEnd{attemptKey{conn.host.id, ref}, endCause(m.Cause)})
 	case a.isPlaced():
 		c.finishTask(a, c.placedCause(a, m.Cause), attemptEnd{reason: rejectReason(m), report: loadReport(m)})
+	case a.isInFlight() && conn.id != a.offeredOn && a.hasEarlierOnHost():
+		// Its own connection is open, so the release is about an earlier attempt, whose connection has ended.
 	case a.isInFlight():
 		c.closeOvertaken(a)
 		c.handleUnboundRelease(a, m)
 	}
 }
 
+// hasEarlierOnHost reports whether the host was sent an earlier offer of the same request.
+func (a *taskAttempt) hasEarlierOnHost() bool {
+	return slices.ContainsFunc(a.request.attempts[:a.number], func(earlier *taskAttempt) bool {
+		return earlier != nil && earlier.host == a.host && earlier.offeredOn != 0
+	})
+}
+
 // placedCause returns the cause of the end of a placed task. If neither its owner nor the module has ended the task, but
 // its host reports CauseMigrated, the withdrawal of an earlier attempt on that host has stopped it. The cause is then
 // CauseReset, as the owner gets no release for CauseMigrated and would take the task for running.
