platform: connections to a host whose address another took are closed behind its stops

Seen by callers: an owner is not told of the end of its task: the host that took an address reports it on a connection that the placer had dialed under the earlier host's name.

Cause: on a connection that was busy when the other host was listed, the placer went on taking messages for those of the earlier host. Tasks that the other host had accepted there were never stopped. A host that came and went unlisted did not supersede the earlier one.

Fix: the tasks of a superseded host are lost at once and their stops go out on its open connections, which are closed at the next check.

--- a/internal/scheduler/platform/addresses.go
+++ b/internal/scheduler/platform/addresses.go
@@ -21,8 +21,7 @@
 // has by it. That is the state of the entry, or removed if another host came to the address later.
 func (c *Core) claimAddress(h *host, entry forkhead.Machine, address string) forkhead.MachineState {
 	if entry.State == forkhead.Removed {
-		c.leaveAddress(h)
-		h.isSuperseded = false
+		c.handleRemovedAt(h, entry, address)
 		return entry.State
 	}
 	if address == "" {
@@ -47,6 +46,17 @@
 	return entry.State
 }
 
+// handleRemovedAt applies the removal of a host. One that was not listed before, and started after the host that the list has
+// at its address, has come there and gone meanwhile.
+func (c *Core) handleRemovedAt(h *host, entry forkhead.Machine, address string) {
+	current := c.occupants[address].host
+	if h.address == "" && current != nil && current != h && entry.StartedAt > current.statedStart {
+		c.supersede(current)
+	}
+	c.leaveAddress(h)
+	h.isSuperseded = false
+}
+
 // orderByStart decides which of two hosts is at an address to which one list has brought both. If their stated starts are
 // the same, neither is superseded.
 func (c *Core) orderByStart(h *host, entry forkhead.Machine, address string, other *host) forkhead.MachineState {
@@ -80,18 +90,29 @@
 	}
 }
 
-// supersede handles a host whose address another one has taken. Its open connections are read for the last ends of its
-// tasks.
+// supersede handles a host whose address another one has taken. Its tasks are lost. As its connections may lead to the other
+// host, which may have accepted some of them, the stops of these tasks are sent there.
 func (c *Core) supersede(h *host) {
 	c.logInfo(messageHostSuperseded, hostAttr(h.name), addressAttr(h.address))
 	c.updateHost(h, h.removedEntry(), h.address)
 	h.isSuperseded = true
+	c.endLostTasks(h, reasonAddressTaken)
+	c.superseded = append(c.superseded, h)
+}
+
+// closeSupersededConnections closes the connections to a host whose address is another's, once the stops of its tasks are sent. What
+// the other host sends on them would be taken for messages of this one.
+func (c *Core) closeSupersededConnections(h *host) {
+	if len(h.connections) == 0 || !c.hasSuccessor(h) || h.hasPlacedTasks() || c.now <= h.lostAt {
+		return
+	}
 	for _, conn := range slices.Clone(h.connections) {
 		if conn.isIdle() {
 			c.halfClose(conn, reasonOutdated)
+		} else {
+			c.closeConnection(conn, reasonOutdated)
 		}
 	}
-	c.superseded = append(c.superseded, h)
 }
 
 // removedEntry returns the entry of a host that has gone without an entry that says so.
--- a/internal/scheduler/platform/addresses_test.go
+++ b/internal/scheduler/platform/addresses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,8 @@
 		"the later one goes":               {[][]listedHost{{newcomer}, {{3, removed, 1, time.Second}}, {earlier}}, map[forkhead.MachineID]bool{1: true}},
 		"removed, and listed there again":  {[][]listedHost{{newcomer}, {{1, removed, 1, 0}}, {earlier}}, map[forkhead.MachineID]bool{1: true}},
 		"the earlier one's removal late":   {[][]listedHost{{newcomer}, {earlier}, {{1, removed, 1, 0}}}, map[forkhead.MachineID]bool{3: true}},
+		"comes and goes unlisted, late":    {[][]listedHost{{{3, removed, 1, time.Second}}}, nil},
+		"an older one's removal, late":     {[][]listedHost{{{3, removed, 1, 0}}}, map[forkhead.MachineID]bool{1: true}},
 		"both new, one list, same start":   {[][]listedHost{{{1, removed, 1, 0}}, {{1, up, 5, 0}, {3, up, 5, 0}}}, map[forkhead.MachineID]bool{1: true, 3: true}},
 		"both new, one list, later second": {[][]listedHost{{{1, removed, 1, 0}}, {{1, up, 5, time.Second}, {3, up, 5, 2 * time.Second}}}, map[forkhead.MachineID]bool{3: true}},
 		"both new, one list, later first":  {[][]listedHost{{{1, removed, 1, 0}}, {{3, up, 5, 2 * time.Second}, {1, up, 5, time.Second}}}, map[forkhead.MachineID]bool{3: true}},
@@ -105,3 +108,26 @@
 		t.Errorf("got %d addresses with a host, want 2", owned)
 	}
 }
+
+// The stops of a superseded host's tasks are sent on its open connection, which may lead to the host that has its address now.
+// Then the connection is closed, as what the other host sends there would be taken for messages of the earlier one.
+func TestCoreClosesConnectionsOfSupersededHostBehindTheStops(t *testing.T) {
+	w := newTestCore(t, mayProbe)
+	owner, conn := w.placeTask()
+	w.send(owner, requestLine(ref2, "unsafe", "")) // in flight on the same connection
+	w.step(w.list(2, w.now, listedHost{3, platform.InService, 1, time.Millisecond}))
+	w.wantLines(sentLines[SendToOwner](w.outputs), "down "+ref1+" 41")
+	if sent := sentLines[SendToHost](w.outputs); !slices.Contains(sent, "down "+ref1+" 16") {
+		t.Errorf("in the step of the list: lines sent to the host: got %q, want the stop of the task among them", sent)
+	}
+	if w.core.connections[conn] == nil {
+		t.Fatal("in the step of the list: the connection is closed, want it open for the stops")
+	}
+	w.advance(2 * reconcileInterval)
+	if w.core.connections[conn] != nil {
+		t.Error("after the next check: the connection is open, want it closed")
+	}
+	if got := takeEvents[forkhead.Outcome](w); len(got) != 2 || got[1].Result != forkhead.Reset || !got[1].Unconfirmed {
+		t.Errorf("got outcomes %+v, want the second to say that the offer in flight may have run", got)
+	}
+}
--- a/internal/scheduler/platform/host.go
+++ b/internal/scheduler/platform/host.go
@@ -22,6 +22,7 @@
 	isSuperseded  bool             // another host has its address, and the endpoint list has not removed it yet
 	unlistedSince time.Duration    // time of the hand-over that added the host; 0: the endpoint list has it
 	drainingSince time.Duration    // time since which the endpoint list has not had the host as ready
+	lostAt        time.Duration    // when its tasks were last lost
 	removedAt     time.Duration    // time since which the endpoint list has had the host as removed
 
 	attempts    map[requestRef]*taskAttempt // live attempts
--- a/internal/scheduler/platform/log.go
+++ b/internal/scheduler/platform/log.go
@@ -54,6 +54,7 @@
 	reasonStopUnanswered     logReason = "a stop was not answered"
 	reasonRestarted          logReason = "the endpoint list states a later start"
 	reasonNotListed          logReason = "the endpoint list does not have it"
+	reasonAddressTaken       logReason = "another host has its address"
 	reasonRemoved            logReason = "the endpoint list has it as removed"
 
 	reasonIdle           logReason = "it was idle"
--- a/internal/scheduler/platform/placed.go
+++ b/internal/scheduler/platform/placed.go
@@ -117,6 +117,7 @@
 // the ends are unconfirmed: the host may only be unreachable.
 func (c *Core) endLostTasks(h *host, reason logReason) {
 	lost := h.attemptsWhere((*taskAttempt).isPlaced)
+	h.lostAt = c.now
 	for _, a := range lost {
 		c.finishTask(a, platform.CauseReset, attemptEnd{inferredFrom: reason})
 	}
--- a/internal/scheduler/platform/reconcile.go
+++ b/internal/scheduler/platform/reconcile.go
@@ -18,6 +18,7 @@
 }
 
 func (c *Core) reconcileHost(h *host) {
+	c.closeSupersededConnections(h)
 	for _, conn := range slices.Clone(h.connections) {
 		c.reconcileConnection(conn)
 	}
