platformsim: hosts that are lost while something accepts at their addresses

Change: Config.LostHosts draws hosts whose address another takes (listed up to 1 s later, the old entry removed or not), hosts that hang and connections that pass nothing without the host's knowledge. Owners must be notified within 8 s of the end, with the longest delay of a message added. A task that ends with its host has the time of that end. An offer that reaches an unlisted host under the name of the earlier one is no breach of the drain rule, as the placer cannot know.

--- a/internal/verify/platformsim/checks.go
+++ b/internal/verify/platformsim/checks.go
@@ -77,7 +77,10 @@
 // checkDrain checks, when an offer is written, that no more than the drain grace period has passed since the placer was
 // notified that the host drains or is down.
 func (p *placer) checkDrain(h *host) {
-	known := p.hostStates[uint32(h.number)]
+	known, listed := p.hostStates[uint32(h.number)]
+	if !listed { // the offer is to an earlier host, whose address this one took before the list says so
+		return
+	}
 	if known.state != platform.InService && p.w.now > known.since+p.w.Settings.DrainGrace+slack {
 		p.w.breach("drain: offer to %s, which the placer has known as %s for %v", h.name(), known.state, p.w.now-known.since)
 	}
@@ -182,6 +185,7 @@
 	if on.owner == r.owner.owner && r.finalMessage == "" {
 		r.finalMessage = m.Type
 		w.report.Ended++
+		w.checkNotifiedInTime(r)
 	}
 }
 
--- a/internal/verify/platformsim/placer.go
+++ b/internal/verify/platformsim/placer.go
@@ -23,7 +23,8 @@
 type placer struct {
 	w           *world
 	number      int
-	incarnation int // incremented at each start and each end
+	incarnation int           // incremented at each start and each end
+	startedAt   time.Duration // start of the incarnation
 	core        *platformcore.Core
 	nextStepAt  time.Duration // time of the core's next step if the core gets no input before
 
@@ -49,6 +50,7 @@
 		return
 	}
 	p.incarnation++
+	p.startedAt = p.w.now
 	p.owners, p.conns = map[int]*ownerConn{}, map[platformcore.ConnectionID]*conn{}
 	p.hostStates = map[uint32]hostState{}
 	core, err := platformcore.New(p.coreConfig())
--- a/internal/verify/platformsim/run.go
+++ b/internal/verify/platformsim/run.go
@@ -20,6 +20,7 @@
 	Hosts          int
 	Tasks          int
 	MaxConnections int     // maximum number of connections of a placer; less than 8 counts as 8
+	LostHosts      int     // number of hosts that are lost while something accepts connections at their addresses
 	Faults         float64 // frequency of faults, from 0 to 1
 	Seed           uint64
 	InjectFault    OutputFilter // nil injects no fault into outputs
@@ -38,6 +39,8 @@
 	// released.
 	Lost, Ended int
 	Steps       int // steps of all cores
+	// AddressesTaken, Hangs and Forgotten count the losses of hosts by their kind, Forgotten by connections.
+	AddressesTaken, Hangs, Forgotten int
 }
 
 const (
@@ -54,12 +57,21 @@
 		w.placers = append(w.placers, p)
 		p.start()
 	}
+	return w.run()
+}
+
+// run plays the requests and faults and checks the rules.
+func (w *world) run() Report {
+	cfg := &w.Config
 	for range cfg.Tasks {
 		w.after(time.Duration(w.rng.Int64N(int64(arrivalTime))), w.sendNewRequest)
 	}
 	for range int(cfg.Faults * 30) {
 		w.after(time.Duration(w.rng.Int64N(int64(arrivalTime))), w.injectFault)
 	}
+	for range cfg.LostHosts {
+		w.after(time.Duration(w.rng.Int64N(int64(arrivalTime))), w.loseReachableHost)
+	}
 	end := w.now + arrivalTime + settleTime
 	w.after(arrivalTime, w.endFaults)
 	for len(w.report.Breaches) < maxBreaches && w.runNext(end) {
--- a/internal/verify/platformsim/run_test.go
+++ b/internal/verify/platformsim/run_test.go
@@ -126,3 +126,21 @@
 	}
 	t.Logf("sum of all reports: %+v", sum)
 }
+
+// Runs in which hosts are lost while something accepts connections at their addresses break no rule, and owners are notified in
+// time of the ends of their tasks.
+func TestLostHostsKeepTheRules(t *testing.T) {
+	var sum Report
+	for seed := range uint64(60) {
+		cfg := busyConfig(seed)
+		cfg.LostHosts, cfg.Faults = 8, float64(seed%3)*0.2
+		r := Run(cfg)
+		for _, b := range r.Breaches {
+			t.Errorf("Run with seed %d: got a breach, want none: %s", seed, b)
+		}
+		sum.AddressesTaken, sum.Hangs, sum.Forgotten = sum.AddressesTaken+r.AddressesTaken, sum.Hangs+r.Hangs, sum.Forgotten+r.Forgotten
+	}
+	if sum.AddressesTaken < 20 || sum.Hangs < 20 || sum.Forgotten < 20 {
+		t.Errorf("got %d addresses taken, %d hangs and %d forgotten connections, want at least 20 of each", sum.AddressesTaken, sum.Hangs, sum.Forgotten)
+	}
+}
