noderules: a host that refuses connections to the end cannot be sent a stop

Trace: host 1 refuses connections from 9.2 s to beyond the end of the run and its connections are reset at 11.2 s; the log has only refused dials since. No stop can be sent, and the check excuses hosts with a fault within 10 s of the end, but counted only the fault's begin and end, not that it was in force.

--- a/internal/verify/noderules/answers.go
+++ b/internal/verify/noderules/answers.go
@@ -225,8 +225,9 @@
 	}
 }
 
-// hasRecentFault reports whether a fault of a host was in force within orphanLimit before the end of the run.
+// hasRecentFault reports whether a fault of a host began or ended within orphanLimit before the end of the run, or still kept
+// placers from reaching the host then.
 func (c *checker) hasRecentFault(host int) bool {
 	at, had := c.lastFaultAt[host]
-	return had && c.lastAt < at+orphanLimit
+	return had && c.lastAt < at+orphanLimit || c.hosts[host].unreachable > 0
 }
--- a/internal/verify/noderules/noderules_test.go
+++ b/internal/verify/noderules/noderules_test.go
@@ -225,6 +225,28 @@
 		j.wait(11 * time.Second)
 		j.listEvent(platform.InService, 0)
 	}, RuleAnswer},
+	"task left running at a host that refuses connections to the end": {func(j *testJournal) {
+		j.place(0, refA)
+		j.add(platformmodel.Record{Event: platformmodel.RecordFaultBegan, Fault: platformmodel.FaultRefused})
+		j.ownerReceives(platform.TypeRelease, refA)
+		j.wait(11 * time.Second)
+		j.listEvent(platform.InService, 0)
+	}, ""},
+	"task left running long after the host refused connections": {func(j *testJournal) {
+		j.place(0, refA)
+		j.add(platformmodel.Record{Event: platformmodel.RecordFaultBegan, Fault: platformmodel.FaultRefused})
+		j.add(platformmodel.Record{Event: platformmodel.RecordFaultEnded, Fault: platformmodel.FaultRefused})
+		j.ownerReceives(platform.TypeRelease, refA)
+		j.wait(11 * time.Second)
+		j.listEvent(platform.InService, 0)
+	}, RuleAnswer},
+	"task left running at a host whose connections pass nothing": {func(j *testJournal) {
+		j.place(0, refA)
+		j.add(platformmodel.Record{Event: platformmodel.RecordFaultBegan, Fault: platformmodel.FaultConnectionsDead})
+		j.ownerReceives(platform.TypeRelease, refA)
+		j.wait(11 * time.Second)
+		j.listEvent(platform.InService, 0)
+	}, RuleAnswer},
 	"closed without an answer": {func(j *testJournal) {
 		j.ownerWrites(platform.TypeRequest, refA)
 		j.add(platformmodel.Record{Event: platformmodel.RecordClosedByPlacer, Party: platformmodel.PartyID{Kind: platformmodel.OwnerParty}, Conn: ownerConn})
--- a/internal/verify/noderules/tasks.go
+++ b/internal/verify/noderules/tasks.go
@@ -18,14 +18,15 @@
 
 // hostRecord is what the checker keeps of a host.
 type hostRecord struct {
-	name       string                // in the endpoint list
-	tasks      map[string]*task      // by ref
-	upAt       time.Duration         // start of the current incarnation, if it is not the first; else 0
-	slowOffers []time.Duration       // offers during slow start from placers that knew of the start
-	drainingAt map[int]time.Duration // by placer: when it was notified that the host drains or is removed
-	startKnown map[int]time.Duration // by placer: when it was notified of the current incarnation
-	notReading int                   // number of faults in force in which the kernel receives what the host does not read
-	readsAgain time.Duration         // when the last such fault ended; 0: none has
+	name        string                // in the endpoint list
+	tasks       map[string]*task      // by ref
+	upAt        time.Duration         // start of the current incarnation, if it is not the first; else 0
+	slowOffers  []time.Duration       // offers during slow start from placers that knew of the start
+	drainingAt  map[int]time.Duration // by placer: when it was notified that the host drains or is removed
+	startKnown  map[int]time.Duration // by placer: when it was notified of the current incarnation
+	notReading  int                   // number of faults in force in which the kernel receives what the host does not read
+	unreachable int                   // number of faults in force in which no connection to the host can be made
+	readsAgain  time.Duration         // when the last such fault ended; 0: none has
 }
 
 func newHostRecord() *hostRecord {
@@ -56,6 +57,7 @@
 		h.start(e)
 	case platformmodel.RecordFaultBegan, platformmodel.RecordFaultEnded:
 		h.countNotReading(e)
+		h.countUnreachable(e)
 	}
 }
 
@@ -81,6 +83,19 @@
 	h.readsAgain = e.At
 }
 
+func (h *hostRecord) countUnreachable(e *entry) {
+	switch e.Fault {
+	case platformmodel.FaultRefused, platformmodel.FaultHalfOpen, platformmodel.FaultZonePartition:
+	default:
+		return
+	}
+	if e.Event == platformmodel.RecordFaultBegan {
+		h.unreachable++
+	} else {
+		h.unreachable--
+	}
+}
+
 // readsLate reports whether a message may have waited in the kernel before it was read, because of a fault.
 func (h *hostRecord) readsLate(now time.Duration) bool {
 	return h.notReading > 0 || h.readsAgain > 0 && now < h.readsAgain+backlogTime
