platform: tasks whose connection broke are lost if no further connection can be made

Seen by callers: a connection passes nothing and then breaks while its host refuses new ones (it drains, or is full): owners of tasks that ended on it are never told, or only long after 8 s.

Cause: a host repeats the end of a task on the next connection that opens only, and none can be opened; others that are open kept the host alive, and with it all of its tasks.

Fix: if dials fail at the host and nothing has come about a task on another connection, it is lost 7.5 s after the last message on the broken one, and 2 s after it broke at the earliest; it counts until confirmed, and its stop goes out on an open connection. A note on another connection shows that the host knows of the break, and ties the task to that one.

--- a/internal/scheduler/platform/host.go
+++ b/internal/scheduler/platform/host.go
@@ -34,6 +34,9 @@
 
 	liveness         liveness
 	stranded         int           // placed tasks whose offers were sent on connections that broke
+	brokenAt         time.Duration // when a connection last ended out of order
+	missingSince     time.Duration // since when that connection may have lost ends
+	openedAt         time.Duration // when a connection was last opened
 	reopenAt         time.Duration // when a connection is to be opened for ends that may have been lost; 0: none is
 	lastDialFailedAt time.Duration // last failed dial, not counting local failures for lack of file descriptors
 	redialAt         time.Duration // earliest time of a dial that no offer or probe needs
--- a/internal/scheduler/platform/hostmessages.go
+++ b/internal/scheduler/platform/hostmessages.go
@@ -67,6 +67,7 @@
 		}
 	case platform.TypeNote:
 		if a != nil {
+			a.moveCarriage(conn)
 			c.handleNote(a, m)
 		}
 	case platform.TypeProbeResult:
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -98,6 +98,9 @@
 	// reopenInterval is the time between two connections that are opened to a host for ends that it may have sent on a
 	// broken one. It is below undeliveredTimeout.
 	reopenInterval = 5 * time.Second
+	// minStrandedWait is the time that a host has, after a connection broke, to send something on another one about a task
+	// whose offer was sent on it. With silentConnectionAfter and halfClosedTimeout it is below undeliveredTimeout.
+	minStrandedWait = 2 * time.Second
 	// reachabilityTimeout is the time after which a connection that was dialed to see whether a host is alive, or for lost
 	// ends of tasks, is closed if it is not used.
 	reachabilityTimeout = 500 * time.Millisecond
--- a/internal/scheduler/platform/missedends.go
+++ b/internal/scheduler/platform/missedends.go
@@ -31,13 +31,15 @@
 	}
 }
 
-// recordBroken handles the end of a connection that may have lost ends of tasks.
+// recordBroken handles the end of a connection that may have lost ends of tasks: it may have passed nothing since its last
+// message.
 func (c *Core) recordBroken(conn *hostConnection) {
 	h := conn.host
 	if conn.state == connectionDialing || conn.carriage.isBroken {
 		return
 	}
 	conn.carriage.isBroken = true
+	h.brokenAt, h.missingSince = c.now, conn.lastReceivedAt
 	h.stranded += conn.carriage.placed
 	switch {
 	case !h.hasPlacedTasks():
@@ -48,8 +50,31 @@
 	}
 }
 
+// moveCarriage handles a message about a task on another connection than that of its offer: the host knows that the latter is
+// broken, and sends what concerns the task on this one.
+func (a *taskAttempt) moveCarriage(conn *hostConnection) {
+	if a.carriage == nil || !a.carriage.isBroken || conn.carriage.isBroken || !a.isPlaced() {
+		return
+	}
+	a.removePlaced()
+	a.carriage = conn.carriage
+	a.addPlaced()
+}
+
+// expireStranded ends the tasks whose connection broke as lost, if no further connection could be made for so long that their
+// owners would learn of their ends too late.
+func (c *Core) expireStranded(h *host) {
+	isRefused := h.lastDialFailedAt > max(h.brokenAt, h.openedAt)
+	if h.stranded == 0 || !isRefused || c.now <= max(h.missingSince+lostAfter, h.openedAt+lostAfter, h.brokenAt+minStrandedWait) {
+		return
+	}
+	stranded := h.attemptsWhere(func(a *taskAttempt) bool { return a.isPlaced() && a.carriage != nil && a.carriage.isBroken })
+	c.endTasks(h, stranded, reasonNoFurtherConnection)
+}
+
 // recordOpened notes that a connection has opened on which the host repeats ends.
 func (h *host) recordOpened(now time.Duration) {
+	h.openedAt = now
 	if h.reopenAt == 0 {
 		return
 	}
--- a/internal/scheduler/platform/missedends_test.go
+++ b/internal/scheduler/platform/missedends_test.go
@@ -125,3 +125,28 @@
 		t.Error("the connection that works was closed, want it open")
 	}
 }
+
+// A task whose connection broke is released if its host accepts no further connection in time, although others are open. It
+// is not if the host sends notes on it on another one, and so shows that it knows.
+func TestCoreReleasesTaskWhoseConnectionBrokeAndCannotBeReplaced(t *testing.T) {
+	for name, notedElsewhere := range map[string]bool{"nothing is said of it": false, "notes on it come on another connection": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestCore(t, mayProbe)
+			conn1, conn2 := w.placeTwoTasks()
+			w.step(HostDisconnected{Connection: conn1, Reset: true})
+			after := w.releasedAfter(20*time.Second, refuse, func() {
+				w.answerProbes(nil)
+				w.note(conn2, ref2)
+				if notedElsewhere {
+					w.note(conn2, ref1)
+				}
+			})
+			if notedElsewhere && after != 0 || !notedElsewhere && (after < lostAfter || after > undeliveredTimeout) {
+				t.Errorf("task released after %v (0 is never), want released %v, after %v to %v", after, !notedElsewhere, lostAfter, undeliveredTimeout)
+			}
+			if a := w.core.hosts[1].attempts[ref2]; a == nil || !a.isPlaced() {
+				t.Error("the task of the other connection was lost, want it placed")
+			}
+		})
+	}
+}
--- a/internal/scheduler/platform/placed.go
+++ b/internal/scheduler/platform/placed.go
@@ -116,8 +116,12 @@
 // endLostTasks ends the placed tasks of a host that counts as lost, and logs the reason. The owners are notified, but
 // the ends are unconfirmed: the host may only be unreachable.
 func (c *Core) endLostTasks(h *host, reason logReason) {
-	lost := h.attemptsWhere((*taskAttempt).isPlaced)
 	h.lostAt = c.now
+	c.endTasks(h, h.attemptsWhere((*taskAttempt).isPlaced), reason)
+}
+
+// endTasks ends placed tasks of a host as lost, and logs the reason.
+func (c *Core) endTasks(h *host, lost []*taskAttempt, reason logReason) {
 	for _, a := range lost {
 		c.finishTask(a, platform.CauseReset, attemptEnd{inferredFrom: reason})
 	}
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -100,6 +100,7 @@
 		c.endLostTasks(h, reasonOnlyUnreadable)
 		return
 	}
+	c.expireStranded(h)
 	silentFor := c.now - h.liveness.lastSignAt(c.settings.MayProbe)
 	if c.isLost(h, silentFor) {
 		c.endLostTasks(h, reasonUnresponsive)
