platform: a host that was never reached has its time to accept a connection

Seen: TestServerHandOverOnDrainingHostThatRefuses failed, 4 of 4 runs: the task of a hand-over was released while its host drained and refused connections.

Fix: the time begins when the host is watched.

Shown: the test passes 3 of 3; TestCoreGivesHostThatWasNeverReachedItsTime failed before for hosts that may not be probed and for those that may.

--- a/internal/scheduler/platform/liveness.go
+++ b/internal/scheduler/platform/liveness.go
@@ -34,8 +34,11 @@
 
 func (l *liveness) unwatch() { l.watchedFrom, l.unansweredSince = 0, 0 }
 
-// lastContactAt returns the last time at which something was reachable at the host's address.
-func (l *liveness) lastContactAt() time.Duration { return max(l.heardAt, l.reachableAt) }
+// lastContactAt returns the last time at which something was reachable at the host's address, or the time since which the
+// host is watched if that is later.
+func (l *liveness) lastContactAt() time.Duration {
+	return max(l.heardAt, l.reachableAt, l.watchedFrom)
+}
 
 // lastSignAt returns the last time at which the host showed that it is alive. A host that may not be probed need not say
 // anything, so that being reachable has to do.
@@ -43,7 +46,7 @@
 	if mayProbe {
 		return max(l.heardAt, l.watchedFrom)
 	}
-	return max(l.lastContactAt(), l.watchedFrom)
+	return l.lastContactAt()
 }
 
 // leavesUnanswered reports whether the host has left questions unanswered for as long as a live one may.
--- a/internal/scheduler/platform/liveness_test.go
+++ b/internal/scheduler/platform/liveness_test.go
@@ -107,3 +107,14 @@
 		t.Errorf("host that answers, after a stop of this placer for 20 s: its task was released after %v, want it kept", after)
 	}
 }
+
+// A host that was never reached has as long to accept a connection as one that was, from the hand-over of its first task.
+func TestCoreGivesHostThatWasNeverReachedItsTime(t *testing.T) {
+	for _, mayAsk := range []bool{false, true} {
+		w := newTestCore(t, func(cfg *Config) { cfg.Settings.MayProbe = mayAsk })
+		w.send(w.connectOwner(), handOverLine(ref1, 2))
+		if after := w.releasedAfter(time.Minute, refuse, func() {}); after < lostAfter || after > undeliveredTimeout {
+			t.Errorf("probes allowed %v: task released after %v (0 is never), want %v to %v", mayAsk, after, lostAfter, undeliveredTimeout)
+		}
+	}
+}
