node: a change log that answers late is followed

Cause: each poll waited 2.2 s for its first bytes, whatever the one before had shown.

Fix: the first poll at an address waits 3.8 s, within the 4 s in which events need not be known; a poll after one without an answer waits 8.5 s, the next 2.2 s again; while responses come late all wait 8.5 s. One request is open at a time. The wait for an event begins with the first bytes.

--- a/internal/server/platform/server.go
+++ b/internal/server/platform/server.go
@@ -167,7 +167,7 @@
 func (s *Server) Close() {
 	s.closeOnce.Do(func() {
 		s.cancel()
-		s.watch.wait()
+		s.watch.awaitEnd()
 		s.loop.Stop()
 		s.gossip.close()
 		s.engine.Stop()
--- a/internal/server/platform/watch.go
+++ b/internal/server/platform/watch.go
@@ -19,13 +19,9 @@
 
 const (
 	streamIdleTimeout = 1500 * time.Millisecond // the platform sends a comment each second
-	// responseTimeout bounds the wait for the first bytes of a response, which a slow watch sends late. A stream that falls
-	// silent is polled again after streamIdleTimeout; an answer within responseTimeout after that comes in the 4 s after
-	// which the platform counts its events as delivered.
-	responseTimeout  = 2200 * time.Millisecond
-	minPollBackoff   = 50 * time.Millisecond // wait between polls without an event; doubled for each further one
-	maxPollBackoff   = 400 * time.Millisecond
-	streamBufferSize = 16 << 10 // bytes
+	minPollBackoff    = 50 * time.Millisecond   // wait between polls without an event; doubled for each further one
+	maxPollBackoff    = 400 * time.Millisecond
+	streamBufferSize  = 16 << 10 // bytes
 )
 
 // Reasons for which the watcher cancels a stream.
@@ -61,6 +57,7 @@
 	// The fields below are used by the watcher's goroutine only.
 	sequence  platform.Sequence
 	intervals eventIntervals
+	wait      responseWait
 }
 
 // startWatch watches the endpoint list until ctx ends.
@@ -76,8 +73,8 @@
 	return w
 }
 
-// wait waits for the watcher's goroutine, which ends after its context.
-func (w *watcher) wait() { <-w.done }
+// awaitEnd waits for the watcher's goroutine, which ends after its context.
+func (w *watcher) awaitEnd() { <-w.done }
 
 // setAddress continues the watch at another address, after the last event that was delivered.
 func (w *watcher) setAddress(address string) {
@@ -128,16 +125,25 @@
 	if canceled {
 		err = context.Cause(stream)
 	}
+	if errors.Is(err, errAddressChanged) {
+		w.wait = responseWait{}
+	}
 	w.log.Debug().Err(err).Str("address", address).Msg("watch stream ended")
 	return canceled
 }
 
 // read opens a stream and handles its events until the stream ends. It calls cancel when a timeout expires.
 func (w *watcher) read(ctx context.Context, cancel context.CancelCauseFunc, address string) error {
-	idle := newIdleTimer(responseTimeout, func() { cancel(errStreamIdle) })
+	idle := newIdleTimer(w.wait.timeout(), func() { cancel(errStreamIdle) })
 	defer idle.stop()
-	noEvents := newIdleTimer(w.intervals.nextTimeout(), func() { cancel(errNoEvents) })
+	noEvents := newIdleTimer(0, func() { cancel(errNoEvents) })
 	defer noEvents.stop()
+	began, answered := time.Now(), false
+	defer func() {
+		if !answered && errors.Is(context.Cause(ctx), errStreamIdle) {
+			w.wait.expired()
+		}
+	}()
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: w.dialer.DialContext}
 	defer transport.CloseIdleConnections()
 	body, err := w.open(ctx, transport, address)
@@ -155,6 +161,11 @@
 		if n > 0 {
 			idle.reset(streamIdleTimeout)
 		}
+		if n > 0 && !answered {
+			answered = true
+			w.wait.answered(time.Since(began))
+			noEvents.reset(w.intervals.nextTimeout())
+		}
 		var eventErr error
 		feedErr := events.Feed(buf[:n], func(event platform.ServerSentEvent) {
 			if err := w.handleEvent(event, eventErr == nil, noEvents); err != nil {
--- a/internal/server/platform/watch_test.go
+++ b/internal/server/platform/watch_test.go
@@ -75,7 +75,7 @@
 		address: address, last: last, connectTimeout: time.Second, log: zerolog.Nop(),
 		deliver: func(event platform.WatchEvent, restarted bool) { deliveries <- delivery{event.Seq, restarted} },
 	})
-	t.Cleanup(w.wait)
+	t.Cleanup(w.awaitEnd)
 	return w, deliveries
 }
 
