noderules: an offer that a host reads late counts from when it was written

Trace: host 2 does not read from 10.9 to 14.16 s; the placer starts at 12.889, gets hand-overs of two tasks and, at 12.900, the request; the host reads the offer at 14.158. The offer says 1499 of 1500 ms, so it was written within 1 ms of the request, and hand-overs count 0.2 s after they came. The check took the time of the read for that of the offer.

Change: for hosts that read late, the time that the offer tells dates it; three cases of breachCases hold the check to offers that were written before.

--- a/internal/verify/noderules/noderules_test.go
+++ b/internal/verify/noderules/noderules_test.go
@@ -94,6 +94,17 @@
 	j.ownerReceives(platform.TypeBound, ref)
 }
 
+// handOverToNewPlacer records a task that is placed, a restart of the placer, and the hand-over of the task to it.
+func (j *testJournal) handOverToNewPlacer(host int, ref string) {
+	j.place(host, ref)
+	j.wait(time.Millisecond)
+	j.add(platformmodel.Record{Event: platformmodel.RecordPlacerStarted})
+	j.wait(time.Millisecond)
+	extras := platform.TextField(platform.FieldExtras, fmt.Sprintf("%s:s-%08x", platform.ExtraHost, host+1))
+	line := platform.Append(nil, platform.TypeRequest, ref, platform.NoCause, []byte(`"d"`), extras)
+	j.add(platformmodel.Record{Event: platformmodel.RecordWritten, Party: platformmodel.PartyID{Kind: platformmodel.OwnerParty}, Conn: ownerConn, Data: line})
+}
+
 // listEvent records a watch event about host 0 that is written to the placer.
 func (j *testJournal) listEvent(state platform.EndpointState, startedAtMS float64) {
 	data := fmt.Sprintf("id: 2\ndata: {\"seq\":2,\"fleet\":{\"whole\":false,\"hosts\":[{\"host\":\"s-00000001\",\"health\":\"%s\",\"born_ms\":%g}]}}\n\n", state, startedAtMS)
@@ -247,6 +258,35 @@
 		j.wait(11 * time.Second)
 		j.listEvent(platform.InService, 0)
 	}, RuleAnswer},
+	"spread beside a hand-over that counts when the offer is read": {func(j *testJournal) {
+		j.handOverToNewPlacer(0, refA)
+		j.ownerWrites(platform.TypeRequest, refB)
+		j.wait(400 * time.Millisecond)
+		j.offer(1, refB, "1100")
+		j.ownerReceives(platform.TypeRelease, refB)
+	}, RuleSpread},
+	"the same, but written before and read late": {func(j *testJournal) {
+		j.handOverToNewPlacer(0, refA)
+		j.ownerWrites(platform.TypeRequest, refB)
+		unread := platformmodel.Record{Event: platformmodel.RecordFaultBegan, Party: platformmodel.PartyID{Number: 1}, Fault: platformmodel.FaultNotReading}
+		j.add(unread)
+		j.wait(400 * time.Millisecond)
+		unread.Event = platformmodel.RecordFaultEnded
+		j.add(unread)
+		j.offer(1, refB, "1499")
+		j.ownerReceives(platform.TypeRelease, refB)
+	}, ""},
+	"the same, but written after and read late": {func(j *testJournal) {
+		j.handOverToNewPlacer(0, refA)
+		j.ownerWrites(platform.TypeRequest, refB)
+		unread := platformmodel.Record{Event: platformmodel.RecordFaultBegan, Party: platformmodel.PartyID{Number: 1}, Fault: platformmodel.FaultNotReading}
+		j.add(unread)
+		j.wait(400 * time.Millisecond)
+		unread.Event = platformmodel.RecordFaultEnded
+		j.add(unread)
+		j.offer(1, refB, "1200")
+		j.ownerReceives(platform.TypeRelease, refB)
+	}, RuleSpread},
 	"closed without an answer": {func(j *testJournal) {
 		j.ownerWrites(platform.TypeRequest, refA)
 		j.add(platformmodel.Record{Event: platformmodel.RecordClosedByPlacer, Party: platformmodel.PartyID{Kind: platformmodel.OwnerParty}, Conn: ownerConn})
--- a/internal/verify/noderules/offers.go
+++ b/internal/verify/noderules/offers.go
@@ -35,7 +35,7 @@
 	if r.class.SpreadDomain == forkhead.AnyDomain {
 		return
 	}
-	count := 1
+	count, writtenAt := 1, c.writtenAt(r, e)
 	var others []string
 	for _, number := range c.hostNumbers {
 		if !c.sameDomain(r.class.SpreadDomain, number, e.Party.Number) {
@@ -43,7 +43,7 @@
 		}
 		for ref, t := range c.hosts[number].tasks {
 			same := number == e.Party.Number && (ref == e.message.Ref || r.key != "" && t.request.key == r.key)
-			if !same && t.placer == e.Placer && t.request.service() == r.service() && c.isKnown(t, e.At) {
+			if !same && t.placer == e.Placer && t.request.service() == r.service() && c.isKnown(t, writtenAt) {
 				count++
 				others = append(others, fmt.Sprintf("%s at host %d", ref, number))
 			}
@@ -55,6 +55,23 @@
 	}
 }
 
+// toldTime returns the time that an offer says its owner has left.
+func toldTime(e *entry) (told time.Duration, ok bool) {
+	text, _ := e.message.Text(platform.FieldTimeout)
+	left, err := strconv.ParseFloat(text, 64)
+	return time.Duration(left * float64(time.Millisecond)), err == nil
+}
+
+// writtenAt returns when an offer was written at the earliest. It may have waited in the kernel if its host reads late; what it
+// says of the owner's time tells when it was written.
+func (c *checker) writtenAt(r *request, e *entry) time.Duration {
+	told, ok := toldTime(e)
+	if !ok || r.sentAt == 0 || !c.hosts[e.Party.Number].readsLate(e.At) {
+		return e.At
+	}
+	return min(e.At, r.sentAt+r.timeout()-told)
+}
+
 // isKnown reports whether the current incarnation of a task's placer made the offer, or had the task handed over.
 func (c *checker) isKnown(t *task, now time.Duration) bool {
 	started := c.placerStartedAt[t.placer]
@@ -129,9 +146,8 @@
 	if r.departedAt > 0 && e.At > r.departedAt+departedSlack {
 		c.breach(e, RuleDeparted, "offered to %v %v after the owner had left it", e.Party, e.At-r.departedAt)
 	}
-	text, _ := e.message.Text(platform.FieldTimeout)
-	if left, err := strconv.ParseFloat(text, 64); err == nil && r.sentAt > 0 {
-		told, remaining := time.Duration(left*float64(time.Millisecond)), r.sentAt+r.timeout()-e.At
+	if told, ok := toldTime(e); ok && r.sentAt > 0 {
+		remaining := r.sentAt + r.timeout() - e.At
 		if told > remaining+deadlineSlack {
 			c.breach(e, RuleDeadline, "%v is told %v, and the owner has %v left", e.Party, told, remaining)
 		}
