node: requests that waited for a late first step lose that time

A host must not be told more time than the owner has left.

Cause: the detector of stalls compared each step with the time at which the one before wanted it, so that the first step was never late, however long the process had been stopped since its listener was open.

Change: the detector begins when the listener is open, and the first step is due then.

Shown: TestStallDetectorAgesDataReadInLateFirstStep (failed to build before: there was no such begin); the stall tests of server/platform pass.

--- a/internal/server/platform/server.go
+++ b/internal/server/platform/server.go
@@ -110,6 +110,7 @@
 	if s.tap != nil {
 		s.tap.Start(s.clock.Now(), &coreConfig)
 	}
+	s.stalls.began(s.clock.Now())
 	s.loop.Start()
 	s.gossip.start()
 	s.watch = startWatch(ctx, watchConfig{
--- a/internal/server/platform/stalldetector.go
+++ b/internal/server/platform/stalldetector.go
@@ -14,11 +14,14 @@
 // It is used by the event loop's goroutine only.
 type stallDetector struct {
 	lastStepAt time.Duration
-	nextStepAt time.Duration // time at which the next step was due; 0 before the first step
+	nextStepAt time.Duration // time at which the next step was due; 0: began was not called
 	stalledAt  time.Duration // latest time at which the process is known to have run before its last stall
 	resumedAt  time.Duration // time of the first step after the last stall; 0: there was none
 }
 
+// began records that owners may connect from now on. The first step is due at once.
+func (d *stallDetector) began(now time.Duration) { d.stepped(now, now) }
+
 // observe records a step.
 func (d *stallDetector) observe(now time.Duration) {
 	if d.nextStepAt > 0 && now > d.nextStepAt+eventloop.StalledAfter {
--- a/internal/server/platform/stalldetector_test.go
+++ b/internal/server/platform/stalldetector_test.go
@@ -34,6 +34,24 @@
 	}
 }
 
+// What is read in the first step may have waited since the listener was opened, if that step is late.
+func TestStallDetectorAgesDataReadInLateFirstStep(t *testing.T) {
+	const opened = time.Second
+	for late, want := range map[time.Duration]time.Duration{
+		20 * time.Millisecond:  0,
+		300 * time.Millisecond: 300 * time.Millisecond,
+	} {
+		var d stallDetector
+		inputs := []platformcore.Input{platformcore.OwnerData{Owner: 1}}
+		d.began(opened)
+		d.observe(opened + late)
+		d.setAges(opened+late, inputs)
+		if got := inputs[0].(platformcore.OwnerData).Age; got != want {
+			t.Errorf("first step %v after the listener was opened: got age %v, want %v", late, got, want)
+		}
+	}
+}
+
 // A request that came while the process was stalled is offered with the time that its owner has left.
 func TestServerSubtractsStallFromTimeLeft(t *testing.T) {
 	const stalled = 700 * time.Millisecond
