Tests: one place for seeds and repeated offers; names of the liveness of hosts

Change: package seedtest, testCore.offerAgain, testJournal.fault, hostRecord.countFault. heard is messageReceived, asksForSigns mustProbe, leaveAddress vacateAddress. Behaviour stays as it is.

--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -30,6 +30,7 @@
 	"cli":        {".", "parse", "protocol", "scheduler", "planning", "server", "client", "emulator", "verify"},
 	"simadapter": {"."},
 	"goldentest": {}, // used only by tests
+	"seedtest":   {}, // the same
 }
 
 // purePaths lists the layers and packages that must not use sockets, clocks, goroutines or global state.
--- a/internal/scheduler/platform/addresses.go
+++ b/internal/scheduler/platform/addresses.go
@@ -53,7 +53,7 @@
 	if h.address == "" && current != nil && current != h && entry.StartedAt > current.statedStart {
 		c.supersede(current)
 	}
-	c.leaveAddress(h)
+	c.vacateAddress(h)
 	h.isSuperseded = false
 }
 
@@ -78,13 +78,13 @@
 }
 
 func (c *Core) occupy(h *host, address string) {
-	c.leaveAddress(h)
+	c.vacateAddress(h)
 	h.isSuperseded = false
 	c.occupants[address] = occupancy{h, c.listNumber}
 }
 
-// leaveAddress removes a host from its address.
-func (c *Core) leaveAddress(h *host) {
+// vacateAddress removes a host from its address.
+func (c *Core) vacateAddress(h *host) {
 	if c.occupants[h.address].host == h {
 		delete(c.occupants, h.address)
 	}
--- a/internal/scheduler/platform/attempt_test.go
+++ b/internal/scheduler/platform/attempt_test.go
@@ -351,17 +351,7 @@
 // another one. The later attempt goes on.
 func TestCoreIgnoresReleaseOfEarlierAttemptOnAnotherConnection(t *testing.T) {
 	w := newTestCore(t, mayProbe)
-	w.decide = func(ev forkhead.Event) []forkhead.Action {
-		switch ev := ev.(type) {
-		case forkhead.PlacementRequest:
-			return []forkhead.Action{forkhead.Offer{Task: ev.Task.ID, Machine: 1}}
-		case forkhead.Outcome:
-			if !ev.Final {
-				return []forkhead.Action{forkhead.Offer{Task: ev.Task, Machine: 1}}
-			}
-		}
-		return nil
-	}
+	w.offerAgain()
 	w.send(w.connectOwner(), requestLine(ref1, "keyed", ""))
 	first := ofType[DialHost](w.outputs)[0].Connection
 	w.connectDialed()
--- a/internal/scheduler/platform/bench_test.go
+++ b/internal/scheduler/platform/bench_test.go
@@ -71,7 +71,7 @@
 	}
 	w.step(WatchEventReceived{Event: platform.WatchEvent{Seq: 2, Endpoints: list}})
 	w.stepWhile(b, func(h *host) {
-		h.liveness.heardAt, h.liveness.reachableAt = w.now, w.now
+		h.liveness.messageAt, h.liveness.reachableAt = w.now, w.now
 		for _, conn := range h.connections {
 			conn.lastReceivedAt = w.now
 		}
--- a/internal/scheduler/platform/connection.go
+++ b/internal/scheduler/platform/connection.go
@@ -139,7 +139,7 @@
 	h.liveness.reachableAt, h.redialBackoff, h.refusedDials = c.now, 0, 0
 	h.wasReset = false
 	h.recordOpened(c.now)
-	if c.settings.MayProbe && (h.unreadableSince > 0 || c.asksForSigns(h)) {
+	if c.settings.MayProbe && (h.unreadableSince > 0 || c.mustProbe(h)) {
 		c.sendProbeMessage(conn) // its result is readable if the host is well
 	}
 	c.sendQueued(conn)
@@ -181,7 +181,7 @@
 			}
 		}
 	case purposeReachability:
-		isAsked := c.asksForSigns(conn.host) // if so, reconcileConnection closes it once the probe on it is answered
+		isAsked := c.mustProbe(conn.host) // if so, reconcileConnection closes it once the probe on it is answered
 		if !isAsked && conn.inFlight == 0 && len(conn.host.connections) > 1 {
 			c.halfClose(conn, reasonSuperseded)
 		}
--- a/internal/scheduler/platform/hostmessages.go
+++ b/internal/scheduler/platform/hostmessages.go
@@ -31,7 +31,7 @@
 		}
 		conn.host.unreadableSince = 0
 		if conn.isVouchedFor {
-			conn.host.liveness.heard(c.now)
+			conn.host.liveness.messageReceived(c.now)
 		}
 		c.handleHostMessage(conn, &m)
 		return nil
--- a/internal/scheduler/platform/liveness.go
+++ b/internal/scheduler/platform/liveness.go
@@ -7,15 +7,15 @@
 // reachable at the host's address: a kernel accepts connections for a process that hangs, and another process accepts them
 // for one that has gone.
 type liveness struct {
-	heardAt         time.Duration // last evidence; 0: none
+	messageAt       time.Duration // last evidence; 0: none
 	reachableAt     time.Duration // last data of any kind, accepted dial, or dial refused beside an open connection; 0: none
 	watchedFrom     time.Duration // since when the host has had placed tasks; 0: it has none
 	askedAt         time.Duration // last question: a probe or a dial to see whether the host is alive; 0: none
 	unansweredSince time.Duration // first question after the last evidence; 0: none
 }
 
-func (l *liveness) heard(now time.Duration) {
-	l.heardAt, l.unansweredSince = now, 0
+func (l *liveness) messageReceived(now time.Duration) {
+	l.messageAt, l.unansweredSince = now, 0
 }
 
 func (l *liveness) asked(now time.Duration) {
@@ -37,14 +37,14 @@
 // lastContactAt returns the last time at which something was reachable at the host's address, or the time since which the
 // host is watched if that is later.
 func (l *liveness) lastContactAt() time.Duration {
-	return max(l.heardAt, l.reachableAt, l.watchedFrom)
+	return max(l.messageAt, l.reachableAt, l.watchedFrom)
 }
 
-// lastSignAt returns the last time at which the host showed that it is alive. A host that may not be probed need not say
+// lastAliveAt returns the last time at which the host showed that it is alive. A host that may not be probed need not say
 // anything, so that being reachable has to do.
-func (l *liveness) lastSignAt(mayProbe bool) time.Duration {
+func (l *liveness) lastAliveAt(mayProbe bool) time.Duration {
 	if mayProbe {
-		return max(l.heardAt, l.watchedFrom)
+		return max(l.messageAt, l.watchedFrom)
 	}
 	return l.lastContactAt()
 }
--- a/internal/scheduler/platform/testcore_test.go
+++ b/internal/scheduler/platform/testcore_test.go
@@ -76,6 +76,21 @@
 	return w
 }
 
+// offerAgain makes the module offer each task to host 1 again after an attempt that leaves its request open.
+func (w *testCore) offerAgain() {
+	w.decide = func(ev forkhead.Event) []forkhead.Action {
+		switch ev := ev.(type) {
+		case forkhead.PlacementRequest:
+			return []forkhead.Action{forkhead.Offer{Task: ev.Task.ID, Machine: 1}}
+		case forkhead.Outcome:
+			if !ev.Final {
+				return []forkhead.Action{forkhead.Offer{Task: ev.Task, Machine: 1}}
+			}
+		}
+		return nil
+	}
+}
+
 // step runs a step of the core at the current time.
 func (w *testCore) step(in ...Input) []Output {
 	w.outputs = w.core.Step(w.now, in...)
--- a/internal/scheduler/platform/unresponsive.go
+++ b/internal/scheduler/platform/unresponsive.go
@@ -84,8 +84,8 @@
 // isAliveAfterRemoval reports whether a host that the endpoint list has as removed has shown since then that it is alive, and
 // a connection to it is open. Such a list is wrong, or early. A host that says nothing for lostAfter is alive no more.
 func (h *host) isAliveAfterRemoval(now time.Duration) bool {
-	heardAt := h.liveness.heardAt
-	return h.leastBusyConnection() != nil && heardAt > h.removedAt && now <= heardAt+lostAfter
+	messageAt := h.liveness.messageAt
+	return h.leastBusyConnection() != nil && messageAt > h.removedAt && now <= messageAt+lostAfter
 }
 
 // reconcileResponsiveness asks a host with placed tasks that sends nothing or has no open connection whether it is alive. If
@@ -101,7 +101,7 @@
 		return
 	}
 	c.expireStranded(h)
-	silentFor := c.now - h.liveness.lastSignAt(c.settings.MayProbe)
+	silentFor := c.now - h.liveness.lastAliveAt(c.settings.MayProbe)
 	if c.isLost(h, silentFor) {
 		c.endLostTasks(h, reasonUnresponsive)
 		for _, conn := range slices.Clone(h.connections) {
@@ -109,7 +109,7 @@
 		}
 		return
 	}
-	if c.asksForSigns(h) && c.now >= h.liveness.askedAt+unresponsiveAfter {
+	if c.mustProbe(h) && c.now >= h.liveness.askedAt+unresponsiveAfter {
 		c.probeOpenConnections(h)
 	}
 	switch {
@@ -125,9 +125,9 @@
 	}
 }
 
-// asksForSigns reports whether a host that accepts connections and says nothing is asked for a message.
-func (c *Core) asksForSigns(h *host) bool {
-	return c.settings.MayProbe && h.hasPlacedTasks() && c.now > h.liveness.lastSignAt(true)+probeSilentAfter
+// mustProbe reports whether a host that accepts connections and says nothing is asked for a message.
+func (c *Core) mustProbe(h *host) bool {
+	return c.settings.MayProbe && h.hasPlacedTasks() && c.now > h.liveness.lastAliveAt(true)+probeSilentAfter
 }
 
 // probeOpenConnections asks a host on each open connection whether it is alive, as some may pass nothing any more.
@@ -167,6 +167,6 @@
 // needsLastDial reports whether a host is about to be lost, but no dial has failed since lastDialBeforeLoss before the
 // loss. Such a host is dialed regardless of its backoff.
 func (h *host) needsLastDial(silentFor time.Duration) bool {
-	lastSign := h.liveness.lastContactAt()
-	return silentFor > lostAfter-lastDialBeforeLoss && h.lastDialFailedAt < lastSign+lostAfter-lastDialBeforeLoss
+	lastContact := h.liveness.lastContactAt()
+	return silentFor > lostAfter-lastDialBeforeLoss && h.lastDialFailedAt < lastContact+lostAfter-lastDialBeforeLoss
 }
--- a/internal/verify/nodechaos/soak_test.go
+++ b/internal/verify/nodechaos/soak_test.go
@@ -2,24 +2,14 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 
+	"forkhead/internal/seedtest"
 	"forkhead/internal/verify/nodechaos"
 )
 
-// Variables that choose the seeds of TestSoak: the first seed and their number.
-const (
-	soakSeedVariable  = "FORKHEAD_SOAK_SEED"
-	soakCountVariable = "FORKHEAD_SOAK_COUNT"
-)
-
-// The soak in CI: seeds and the number of runs at once are fixed, and a run takes 20 s.
-const (
-	defaultSoakSeed  = 1
-	defaultSoakCount = 8
-)
+// soakSeeds are the seeds of the soaks. A run takes 20 s or 24 s.
+var soakSeeds = seedtest.Seeds{First: 1, Count: 8, FirstVariable: "FORKHEAD_SOAK_SEED", CountVariable: "FORKHEAD_SOAK_COUNT"}
 
 // Runs with drawn faults and signals break no rule.
 func TestSoak(t *testing.T) { runSoak(t, nodechaos.Draw) }
@@ -29,8 +19,8 @@
 
 func runSoak(t *testing.T, draw func(seed uint64) nodechaos.Plan) {
 	t.Helper()
-	first, count := intVariable(t, soakSeedVariable, defaultSoakSeed), intVariable(t, soakCountVariable, defaultSoakCount)
-	for seed := first; seed < first+count; seed++ {
+	first, end := soakSeeds.Range(t)
+	for seed := first; seed < end; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			plan := draw(uint64(seed))
@@ -38,16 +28,3 @@
 		})
 	}
 }
-
-func intVariable(t *testing.T, name string, ifUnset int) int {
-	t.Helper()
-	text := os.Getenv(name)
-	if text == "" {
-		return ifUnset
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatalf("%s: %v", name, err)
-	}
-	return n
-}
--- a/internal/verify/noderules/noderules_test.go
+++ b/internal/verify/noderules/noderules_test.go
@@ -94,6 +94,11 @@
 	j.ownerReceives(platform.TypeBound, ref)
 }
 
+// fault records that a fault of a host begins or ends.
+func (j *testJournal) fault(host int, fault platformmodel.FaultType, event platformmodel.RecordEvent) {
+	j.add(platformmodel.Record{Event: event, Party: platformmodel.PartyID{Number: host}, Fault: fault})
+}
+
 // handOverToNewPlacer records a task that is placed, a restart of the placer, and the hand-over of the task to it.
 func (j *testJournal) handOverToNewPlacer(host int, ref string) {
 	j.place(host, ref)
@@ -238,22 +243,22 @@
 	}, RuleAnswer},
 	"task left running at a host that refuses connections to the end": {func(j *testJournal) {
 		j.place(0, refA)
-		j.add(platformmodel.Record{Event: platformmodel.RecordFaultBegan, Fault: platformmodel.FaultRefused})
+		j.fault(0, platformmodel.FaultRefused, platformmodel.RecordFaultBegan)
 		j.ownerReceives(platform.TypeRelease, refA)
 		j.wait(11 * time.Second)
 		j.listEvent(platform.InService, 0)
 	}, ""},
 	"task left running long after the host refused connections": {func(j *testJournal) {
 		j.place(0, refA)
-		j.add(platformmodel.Record{Event: platformmodel.RecordFaultBegan, Fault: platformmodel.FaultRefused})
-		j.add(platformmodel.Record{Event: platformmodel.RecordFaultEnded, Fault: platformmodel.FaultRefused})
+		j.fault(0, platformmodel.FaultRefused, platformmodel.RecordFaultBegan)
+		j.fault(0, platformmodel.FaultRefused, platformmodel.RecordFaultEnded)
 		j.ownerReceives(platform.TypeRelease, refA)
 		j.wait(11 * time.Second)
 		j.listEvent(platform.InService, 0)
 	}, RuleAnswer},
 	"task left running at a host whose connections pass nothing": {func(j *testJournal) {
 		j.place(0, refA)
-		j.add(platformmodel.Record{Event: platformmodel.RecordFaultBegan, Fault: platformmodel.FaultConnectionsDead})
+		j.fault(0, platformmodel.FaultConnectionsDead, platformmodel.RecordFaultBegan)
 		j.ownerReceives(platform.TypeRelease, refA)
 		j.wait(11 * time.Second)
 		j.listEvent(platform.InService, 0)
@@ -268,22 +273,18 @@
 	"the same, but written before and read late": {func(j *testJournal) {
 		j.handOverToNewPlacer(0, refA)
 		j.ownerWrites(platform.TypeRequest, refB)
-		unread := platformmodel.Record{Event: platformmodel.RecordFaultBegan, Party: platformmodel.PartyID{Number: 1}, Fault: platformmodel.FaultNotReading}
-		j.add(unread)
+		j.fault(1, platformmodel.FaultNotReading, platformmodel.RecordFaultBegan)
 		j.wait(400 * time.Millisecond)
-		unread.Event = platformmodel.RecordFaultEnded
-		j.add(unread)
+		j.fault(1, platformmodel.FaultNotReading, platformmodel.RecordFaultEnded)
 		j.offer(1, refB, "1499")
 		j.ownerReceives(platform.TypeRelease, refB)
 	}, ""},
 	"the same, but written after and read late": {func(j *testJournal) {
 		j.handOverToNewPlacer(0, refA)
 		j.ownerWrites(platform.TypeRequest, refB)
-		unread := platformmodel.Record{Event: platformmodel.RecordFaultBegan, Party: platformmodel.PartyID{Number: 1}, Fault: platformmodel.FaultNotReading}
-		j.add(unread)
+		j.fault(1, platformmodel.FaultNotReading, platformmodel.RecordFaultBegan)
 		j.wait(400 * time.Millisecond)
-		unread.Event = platformmodel.RecordFaultEnded
-		j.add(unread)
+		j.fault(1, platformmodel.FaultNotReading, platformmodel.RecordFaultEnded)
 		j.offer(1, refB, "1200")
 		j.ownerReceives(platform.TypeRelease, refB)
 	}, RuleSpread},
--- a/internal/verify/noderules/tasks.go
+++ b/internal/verify/noderules/tasks.go
@@ -56,8 +56,7 @@
 	case platformmodel.RecordHostUp:
 		h.start(e)
 	case platformmodel.RecordFaultBegan, platformmodel.RecordFaultEnded:
-		h.countNotReading(e)
-		h.countUnreachable(e)
+		h.countFault(e)
 	}
 }
 
@@ -69,30 +68,22 @@
 	}
 }
 
-func (h *hostRecord) countNotReading(e *entry) {
+// countFault counts the faults in force that keep a host from reading or from being reached.
+func (h *hostRecord) countFault(e *entry) {
+	change := 1
+	if e.Event == platformmodel.RecordFaultEnded {
+		change = -1
+	}
 	switch e.Fault {
 	case platformmodel.FaultNotReading, platformmodel.FaultHalfOpen, platformmodel.FaultZonePartition:
-	default:
-		return
-	}
-	if e.Event == platformmodel.RecordFaultBegan {
-		h.notReading++
-		return
+		h.notReading += change
+		if change < 0 {
+			h.readsAgain = e.At
+		}
 	}
-	h.notReading--
-	h.readsAgain = e.At
-}
-
-func (h *hostRecord) countUnreachable(e *entry) {
 	switch e.Fault {
 	case platformmodel.FaultRefused, platformmodel.FaultHalfOpen, platformmodel.FaultZonePartition:
-	default:
-		return
-	}
-	if e.Event == platformmodel.RecordFaultBegan {
-		h.unreachable++
-	} else {
-		h.unreachable--
+		h.unreachable += change
 	}
 }
 
--- a/internal/verify/platformsim/conn.go
+++ b/internal/verify/platformsim/conn.go
@@ -52,7 +52,7 @@
 // hostAt returns the host that currently has the address, or nil.
 func (w *world) hostAt(address string) *host {
 	for _, h := range w.hosts {
-		if !h.isGone && h.address() == address {
+		if !h.isRemoved && h.address() == address {
 			return h
 		}
 	}
--- a/internal/verify/platformsim/host.go
+++ b/internal/verify/platformsim/host.go
@@ -23,7 +23,7 @@
 	ready           bool   // in service by the endpoint list; if not, dials are refused and offers rejected
 	isolated        bool   // partitioned from all placers
 	isHung          bool   // its port accepts connections, and nothing passes on them
-	isGone          bool   // it does not start again
+	isRemoved       bool   // it does not start again
 	takenAddress    string // address that it took from another host; "" after its first restart
 	restarts        int
 	tasks           map[string]*attempt // bound tasks by ref
@@ -93,7 +93,7 @@
 
 // start starts a host that is down, which then warms up, and publishes its new address.
 func (h *host) start() {
-	if h.up || h.isGone {
+	if h.up || h.isRemoved {
 		return
 	}
 	if h.isHung {
--- a/internal/verify/platformsim/losthosts.go
+++ b/internal/verify/platformsim/losthosts.go
@@ -29,7 +29,7 @@
 	}
 	w.report.AddressesTaken++
 	address := h.address()
-	h.isGone = true
+	h.isRemoved = true
 	h.endProcess((*conn).reset)
 	other := &host{
 		w: w, number: len(w.hosts) + 1, location: h.location, incarnation: 1, up: true, ready: true, machineType: h.machineType, startedAt: w.now,
--- a/internal/verify/platformsim/run_test.go
+++ b/internal/verify/platformsim/run_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +11,7 @@
 
 	"forkhead"
 	platformcore "forkhead/internal/scheduler/platform"
+	"forkhead/internal/seedtest"
 )
 
 // drawnConfig draws the configuration of a run and its settings from the ranges that the platform allows.
@@ -128,20 +128,15 @@
 	t.Logf("sum of all reports: %+v", sum)
 }
 
-// Variables that choose the seeds of TestLostHostsKeepTheRules: the first seed and their number.
-const (
-	lostSeedVariable  = "FORKHEAD_LOST_SEED"
-	lostCountVariable = "FORKHEAD_LOST_COUNT"
-)
-
-const defaultLostCount = 60
+// lostHostSeeds are the seeds of TestLostHostsKeepTheRules.
+var lostHostSeeds = seedtest.Seeds{Count: 60, FirstVariable: "FORKHEAD_LOST_SEED", CountVariable: "FORKHEAD_LOST_COUNT"}
 
 // Runs in which hosts are lost while something accepts connections at their addresses break no rule, and owners are notified in
 // time of the ends of their tasks.
 func TestLostHostsKeepTheRules(t *testing.T) {
-	first, count := variable(t, lostSeedVariable, 0), variable(t, lostCountVariable, defaultLostCount)
+	first, end := lostHostSeeds.Range(t)
 	var sum Report
-	for seed := first; seed < first+count; seed++ {
+	for seed := first; seed < end; seed++ {
 		cfg := busyConfig(uint64(seed))
 		cfg.LostHosts, cfg.Faults = 1+seed%10, float64(seed%4)*0.2
 		r := Run(cfg)
@@ -150,20 +145,7 @@
 		}
 		sum.AddressesTaken, sum.Hangs, sum.Forgotten = sum.AddressesTaken+r.AddressesTaken, sum.Hangs+r.Hangs, sum.Forgotten+r.Forgotten
 	}
-	if count >= defaultLostCount && (sum.AddressesTaken < 20 || sum.Hangs < 20 || sum.Forgotten < 20) {
+	if end-first >= lostHostSeeds.Count && (sum.AddressesTaken < 20 || sum.Hangs < 20 || sum.Forgotten < 20) {
 		t.Errorf("got %d addresses taken, %d hangs and %d forgotten connections, want at least 20 of each", sum.AddressesTaken, sum.Hangs, sum.Forgotten)
 	}
 }
-
-func variable(t *testing.T, name string, ifUnset int) int {
-	t.Helper()
-	text := os.Getenv(name)
-	if text == "" {
-		return ifUnset
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatalf("%s: %v", name, err)
-	}
-	return n
-}
