platform: a host that answers a half-close by a reset has not lost anything

A host that resets a connection in answer to our half-close knows of its end; with a refusal of new connections, as of a host that drains, its live tasks would be released 7.5 s later.

Change: a reset within 50 ms of a half-close strands no task; one connection is still opened for lost ends.

--- a/internal/emulator/platformmodel/injectors.go
+++ b/internal/emulator/platformmodel/injectors.go
@@ -251,6 +251,8 @@
 	}
 	e.resetDeadLinks(p)
 	for _, l := range p.host.unnoticed {
+		e.record(RecordClosedByEmulator, l, nil)
+		e.emit(ResetConnection{l.id})
 		e.notifyModelClosed(l, true)
 	}
 	p.host.unnoticed = nil
--- a/internal/scheduler/platform/connection.go
+++ b/internal/scheduler/platform/connection.go
@@ -333,7 +333,7 @@
 func (c *Core) closeConnection(conn *hostConnection, reason logReason, details ...slog.Attr) {
 	c.logConnection(messageConnectionClosed, conn, reason, details...)
 	if reason != reasonEvicted { // else the connections of two hosts could evict one another for ever
-		c.recordBroken(conn)
+		c.recordBroken(conn, false)
 	}
 	c.emit(CloseHostConnection{conn.id})
 	c.connectionLost(conn)
@@ -353,7 +353,7 @@
 	reason := reasonClosedByPeer
 	if input.Reset {
 		reason = reasonReset
-		c.recordBroken(conn)
+		c.recordBroken(conn, conn.state == connectionHalfClosed && c.now <= conn.halfClosedAt+closeAnswerTime)
 	}
 	c.logConnection(messageConnectionEnded, conn, reason)
 	conn.host.wasReset = input.Reset
--- a/internal/scheduler/platform/limits.go
+++ b/internal/scheduler/platform/limits.go
@@ -98,6 +98,8 @@
 	// reopenInterval is the time between two connections that are opened to a host for ends that it may have sent on a
 	// broken one. It is below undeliveredTimeout.
 	reopenInterval = 5 * time.Second
+	// closeAnswerTime is the time within which a reset is taken for a host's answer to a half-close.
+	closeAnswerTime = 50 * time.Millisecond
 	// minStrandedWait is the time that a host has, after a connection broke, to send something on another one about a task
 	// whose offer was sent on it. With silentConnectionAfter and halfClosedTimeout it is below undeliveredTimeout.
 	minStrandedWait = 2 * time.Second
--- a/internal/scheduler/platform/missedends.go
+++ b/internal/scheduler/platform/missedends.go
@@ -32,15 +32,17 @@
 }
 
 // recordBroken handles the end of a connection that may have lost ends of tasks: it may have passed nothing since its last
-// message.
-func (c *Core) recordBroken(conn *hostConnection) {
+// message. If its host has answered a half-close at once, by a reset, the host knows of the end, and no task is stranded.
+func (c *Core) recordBroken(conn *hostConnection, isAnswer bool) {
 	h := conn.host
 	if conn.state == connectionDialing || conn.carriage.isBroken {
 		return
 	}
-	conn.carriage.isBroken = true
-	h.brokenAt, h.missingSince = c.now, conn.lastReceivedAt
-	h.stranded += conn.carriage.placed
+	if !isAnswer {
+		conn.carriage.isBroken = true
+		h.brokenAt, h.missingSince = c.now, conn.lastReceivedAt
+		h.stranded += conn.carriage.placed
+	}
 	switch {
 	case !h.hasPlacedTasks():
 	case conn.purpose == purposeMissedEnds: // little was sent on it, and if the host leaves all of them open, each would call for another
--- a/internal/scheduler/platform/missedends_test.go
+++ b/internal/scheduler/platform/missedends_test.go
@@ -150,3 +150,19 @@
 		})
 	}
 }
+
+// A host that answers a half-close by a reset knows of the end of the connection. It may refuse others without losing tasks.
+func TestCoreKeepsTaskWhoseHostAnswersHalfCloseByReset(t *testing.T) {
+	w := newTestCore(t, mayProbe)
+	conn1, conn2 := w.placeTwoTasks()
+	w.runWithNotes(silentConnectionAfter+200*time.Millisecond, conn2, conn1)
+	w.core.connections[conn1].halfClosedAt = w.now
+	w.step(HostDisconnected{Connection: conn1, Reset: true})
+	after := w.releasedAfter(20*time.Second, refuse, func() {
+		w.answerProbes(nil)
+		w.note(conn2, ref2)
+	})
+	if after != 0 {
+		t.Errorf("task released after %v, want it kept", after)
+	}
+}
--- a/internal/verify/platformsim/interleavingevents.go
+++ b/internal/verify/platformsim/interleavingevents.go
@@ -162,7 +162,7 @@
 		delete(run.p.conns, c.id)
 		run.p.step(platformcore.DialFailed{Connection: c.id, Refused: true})
 	case eventDisconnected:
-		c.disconnect()
+		c.disconnect(true)
 	}
 }
 
--- a/internal/verify/platformsim/run_test.go
+++ b/internal/verify/platformsim/run_test.go
@@ -128,6 +128,22 @@
 	t.Logf("sum of all reports: %+v", sum)
 }
 
+// drawnLostHostSeeds are the seeds of TestDrawnLostHostsKeepTheRules.
+var drawnLostHostSeeds = seedtest.Seeds{Count: 40, FirstVariable: "FORKHEAD_LOST_DRAWN_SEED", CountVariable: "FORKHEAD_LOST_DRAWN_COUNT"}
+
+// The same as TestLostHostsKeepTheRules, with drawn settings.
+func TestDrawnLostHostsKeepTheRules(t *testing.T) {
+	configs := rapid.Custom(drawnConfig)
+	first, end := drawnLostHostSeeds.Range(t)
+	for seed := first; seed < end; seed++ {
+		cfg := configs.Example(seed)
+		cfg.LostHosts = 1 + seed%10
+		for _, b := range Run(cfg).Breaches {
+			t.Errorf("Run with the settings drawn from seed %d: got a breach, want none: %s", seed, b)
+		}
+	}
+}
+
 // lostHostSeeds are the seeds of TestLostHostsKeepTheRules.
 var lostHostSeeds = seedtest.Seeds{Count: 60, FirstVariable: "FORKHEAD_LOST_SEED", CountVariable: "FORKHEAD_LOST_COUNT"}
 
