platform: the log lines of rejections are bounded before they are made

Cause: each rejection made a log line, which the shell then left out beyond 200 in a second; a flood of rejected requests made each step longer.

Change: the core makes at most 50 such lines in a second and then one with the number of the others, so that they do not hide lines on lost tasks either.

--- a/internal/scheduler/platform/core.go
+++ b/internal/scheduler/platform/core.go
@@ -42,6 +42,7 @@
 	owners      map[OwnerID]*ownerConnection
 	undelivered []undeliveredMessage // oldest first
 	closed      closedRequests
+	rejections  rejectionLog
 
 	hosts          map[forkhead.MachineID]*host
 	sortedHosts    []*host              // hosts ordered by id; nil: hostsInOrder must rebuild it
--- a/internal/scheduler/platform/log.go
+++ b/internal/scheduler/platform/log.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"strings"
+	"time"
 
 	"forkhead"
 )
@@ -22,6 +23,7 @@
 	messageOwnerReset        = "connection of an owner was reset"
 	messageAttemptEnded      = "attempt ended and its request is open"
 	messageRequestRejected   = "request rejected"
+	messageRejectionsLeftOut = "requests rejected without a log line"
 	messageRequestFailed     = "request failed"
 	messageEndSent           = "end of a task sent to its owner"
 	messageUnusableEndpoint  = "unusable entry of the endpoint list ignored"
@@ -109,6 +111,7 @@
 	keyOwner      = "owner" // OwnerID of a connection, as in a trace
 	keyReason     = "reason"
 	keyRef        = "ref"      // ref of the placement request on the wire
+	keyRequests   = "requests" // number of requests concerned
 	keyResult     = "result"   // result of an attempt
 	keyState      = "state"    // state in the endpoint list, as on the wire
 	keyTask       = "task"     // forkhead.TaskID of the placement request at this placer
@@ -165,8 +168,30 @@
 	forkhead.NotSent:       "not sent",
 }
 
+// maxRejectionLines bounds the log lines of rejections in each second. A client that sends requests at full speed must not make
+// steps long by them, nor hide other lines.
+const maxRejectionLines int = 50
+
+// rejectionLog counts the log lines of rejections.
+type rejectionLog struct {
+	second         time.Duration // begin of the current second
+	lines, leftOut int           // in the current second
+}
+
 // logRejected logs the rejection of a request that was not passed to the module, or that the module rejected.
 func (c *Core) logRejected(ref requestRef, reason logReason) {
+	r := &c.rejections
+	if second := c.now.Truncate(time.Second); second != r.second {
+		if r.leftOut > 0 {
+			c.logInfo(messageRejectionsLeftOut, slog.Int(keyRequests, r.leftOut))
+		}
+		*r = rejectionLog{second: second}
+	}
+	if r.lines == maxRejectionLines {
+		r.leftOut++
+		return
+	}
+	r.lines++
 	c.logInfo(messageRequestRejected, refAttr(ref), reasonAttr(reason))
 }
 
--- a/internal/scheduler/platform/log_test.go
+++ b/internal/scheduler/platform/log_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 )
 
 // logTexts returns the values of the constants of log.go whose names begin with a prefix, by name.
@@ -54,6 +55,34 @@
 	}
 }
 
+// The log lines of rejections are bounded, and the requests without one are counted.
+func TestCoreBoundsLogLinesOfRejections(t *testing.T) {
+	w := newTestCore(t, nil)
+	w.now = w.now.Truncate(time.Second)
+	count := func(message string) (lines int) {
+		for _, line := range ofType[Log](w.outputs) {
+			if line.Message == message {
+				lines++
+			}
+		}
+		return lines
+	}
+	lines := 0
+	for i := range 3 * maxRejectionLines {
+		w.core.logRejected(requestRef(requestNumber(i)), reasonBusy)
+	}
+	w.outputs = w.core.outputs
+	if lines = count(messageRequestRejected); lines != maxRejectionLines {
+		t.Errorf("%d rejections in a second: got %d lines, want %d", 3*maxRejectionLines, lines, maxRejectionLines)
+	}
+	w.core.now += time.Second
+	w.core.logRejected(ref1, reasonBusy)
+	w.outputs = w.core.outputs
+	if got := count(messageRejectionsLeftOut); got != 1 {
+		t.Errorf("the next second: got %d lines about those left out, want 1", got)
+	}
+}
+
 func TestLogStringHasMessageAndAttributes(t *testing.T) {
 	line := Log{Message: "offer vetoed", Attributes: []slog.Attr{taskAttr(7), hostAttr("s-1"), errorAttr(errors.New("fit: no"))}}
 	if got, want := line.String(), "offer vetoed task=7 host=s-1 error=fit: no"; got != want {
